--- /dev/null
+++ b/crates/cicadalock-core/src/collect/mod.rs
@@ -0,0 +1,5 @@
+//! Collections kept as sorted vectors.
+
+mod sorted_map;
+
+pub use sorted_map::SortedMap;
--- /dev/null
+++ b/crates/cicadalock-core/src/config/raw.rs
@@ -0,0 +1,171 @@
+use std::sync::Arc;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use super::Finding;
+
+/// A named text of a configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigText {
+    pub(super) file: Arc<str>,
+    pub(super) text: Arc<str>,
+}
+
+impl ConfigText {
+    /// Creates a text that findings call `file`.
+    #[must_use]
+    pub fn new(file: &str, text: &str) -> Self {
+        Self {
+            file: Arc::from(file),
+            text: Arc::from(text),
+        }
+    }
+}
+
+/// Place of a key in a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Place {
+    pub(super) file: Arc<str>,
+    pub(super) line: usize,
+}
+
+/// A value without further structure.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum RawValue {
+    Text(String),
+    Integer(i64),
+    Boolean(bool),
+    Other(&'static str),
+}
+
+/// One key with its value and place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct RawField {
+    pub(super) key: String,
+    pub(super) value: RawValue,
+    pub(super) place: Place,
+}
+
+/// One table: an entry of a list, or the table of limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct RawItem {
+    pub(super) fields: Vec<RawField>,
+    pub(super) place: Place,
+}
+
+impl RawItem {
+    pub(super) fn get(&self, key: &str) -> Option<&RawField> {
+        self.fields.iter().find(|field| field.key == key)
+    }
+
+    pub(super) fn name(&self) -> Option<&str> {
+        match &self.get("name")?.value {
+            RawValue::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+}
+
+/// Lists of a configuration, in the order in which they are printed.
+pub(super) const LISTS: [&str; 3] = ["services", "kinds", "customers"];
+
+/// Name of the table of limits.
+pub(super) const LIMITS: &str = "limits";
+
+/// A text as lists of tables with places.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(super) struct RawConfig {
+    pub(super) limits: Option<RawItem>,
+    /// Entries of each of [`LISTS`].
+    pub(super) lists: [Vec<RawItem>; 3],
+}
+
+impl RawConfig {
+    /// Reads a text, adding a finding for each thing that has no place in a configuration.
+    pub(super) fn parse(source: &ConfigText, findings: &mut Vec<Finding>) -> Self {
+        let reader = RawReader { source };
+        let (root, errors) = DeTable::parse_recoverable(&source.text);
+        for error in errors {
+            let place = reader.place(error.span().map_or(0, |span| span.start));
+            findings.push(Finding::new(&place, "syntax".into(), error.message().replace('\n', " ")));
+        }
+        let mut config = Self::default();
+        for (key, value) in root.get_ref() {
+            reader.section(&mut config, key, value, findings);
+        }
+        config
+    }
+}
+
+struct RawReader<'a> {
+    source: &'a ConfigText,
+}
+
+impl RawReader<'_> {
+    fn section(
+        &self,
+        config: &mut RawConfig,
+        key: &Spanned<impl AsRef<str>>,
+        value: &Spanned<DeValue<'_>>,
+        findings: &mut Vec<Finding>,
+    ) {
+        let name = key.get_ref().as_ref();
+        let place = self.place(key.span().start);
+        if name == LIMITS {
+            match value.get_ref().as_table() {
+                Some(table) => config.limits = Some(self.item(table, place)),
+                None => findings.push(Finding::new(&place, name.into(), "must be a table")),
+            }
+            return;
+        }
+        let Some(index) = LISTS.iter().position(|list| *list == name) else {
+            findings.push(Finding::new(&place, name.into(), "unknown key"));
+            return;
+        };
+        let Some(entries) = value.get_ref().as_array() else {
+            findings.push(Finding::new(&place, name.into(), "must be a list of tables"));
+            return;
+        };
+        for entry in entries.iter() {
+            let place = self.place(entry.span().start);
+            match entry.get_ref().as_table() {
+                Some(table) => config.lists[index].push(self.item(table, place)),
+                None => findings.push(Finding::new(&place, name.into(), "must be a table")),
+            }
+        }
+    }
+
+    fn item(&self, table: &DeTable<'_>, place: Place) -> RawItem {
+        let mut fields: Vec<RawField> = table
+            .iter()
+            .map(|(key, value)| RawField {
+                key: key.get_ref().to_string(),
+                value: raw_value(value.get_ref()),
+                place: self.place(key.span().start),
+            })
+            .collect();
+        fields.sort_by_key(|field| field.place.line);
+        RawItem { fields, place }
+    }
+
+    fn place(&self, offset: usize) -> Place {
+        let before = self.source.text.as_bytes().iter().take(offset);
+        Place {
+            file: Arc::clone(&self.source.file),
+            line: 1 + before.filter(|byte| **byte == b'\n').count(),
+        }
+    }
+}
+
+fn raw_value(value: &DeValue<'_>) -> RawValue {
+    match value {
+        DeValue::String(text) => RawValue::Text(text.to_string()),
+        DeValue::Boolean(value) => RawValue::Boolean(*value),
+        DeValue::Integer(integer) => {
+            let parsed = i64::from_str_radix(integer.as_str(), integer.radix());
+            parsed.map_or(RawValue::Other("integer out of range"), RawValue::Integer)
+        }
+        other => RawValue::Other(other.type_str()),
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/config/release.rs
@@ -0,0 +1,108 @@
+use serde_json::{Map, Value};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+use super::{ConfigText, Finding, FleetConfig};
+use crate::collect::SortedMap;
+
+/// What operators publish: one base text and the overlays of all sites, under one revision.
+///
+/// Every process checks the whole release, so that all accept or reject it alike.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigRelease {
+    base: ConfigText,
+    overlays: SortedMap<String, ConfigText>,
+}
+
+/// Why a published text is not a release.
+#[derive(Debug, Snafu)]
+pub enum ReleaseError {
+    /// The text is not JSON.
+    #[snafu(display("the release is not JSON: {source}"))]
+    NotJson {
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// A part is missing or is not a text.
+    #[snafu(display("the release has no text `{part}`"))]
+    NoText {
+        /// The part.
+        part: String,
+    },
+}
+
+impl ConfigRelease {
+    /// Creates a release without overlays.
+    #[must_use]
+    pub const fn new(base: ConfigText) -> Self {
+        Self {
+            base,
+            overlays: SortedMap::new(),
+        }
+    }
+
+    /// Adds the overlay of `site`.
+    #[must_use]
+    pub fn overlay(mut self, site: &str, overlay: ConfigText) -> Self {
+        self.overlays.insert(site.to_owned(), overlay);
+        self
+    }
+
+    /// Reads a published text: a JSON object of `base` and `overlays`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not such an object.
+    pub fn parse(text: &str) -> Result<Self, ReleaseError> {
+        let root: Value = serde_json::from_str(text).context(NotJsonSnafu)?;
+        let base = root["base"].as_str().context(NoTextSnafu { part: "base" })?;
+        let mut release = Self::new(ConfigText::new("base", base));
+        for (site, overlay) in root["overlays"].as_object().unwrap_or(&Map::new()) {
+            let part = format!("overlays.{site}");
+            let overlay = overlay.as_str().context(NoTextSnafu { part })?;
+            release = release.overlay(site, ConfigText::new(&format!("overlay {site}"), overlay));
+        }
+        Ok(release)
+    }
+
+    /// The text to publish.
+    #[must_use]
+    pub fn publish_text(&self) -> String {
+        let overlays: Map<String, Value> = self
+            .overlays
+            .iter()
+            .map(|(site, overlay)| (site.clone(), Value::from(&*overlay.text)))
+            .collect();
+        serde_json::json!({ "base": &*self.base.text, "overlays": overlays }).to_string()
+    }
+
+    /// The configuration of `site`, after checking all sites.
+    ///
+    /// # Errors
+    ///
+    /// Returns the findings of the base and of every overlay.
+    pub fn config_for(&self, site: &str) -> Result<FleetConfig, Vec<Finding>> {
+        let mut findings = Vec::new();
+        let plain = FleetConfig::read(&self.base, None);
+        let mut chosen = None;
+        for (name, overlay) in self.overlays.iter() {
+            match FleetConfig::read(&self.base, Some(overlay)) {
+                Ok(config) if name == site => chosen = Some(config),
+                Ok(_) => {}
+                Err(more) => findings.extend(more),
+            }
+        }
+        let plain = match plain {
+            Ok(config) => Some(config),
+            Err(more) => {
+                findings.extend(more);
+                None
+            }
+        };
+        if let (true, Some(config)) = (findings.is_empty(), chosen.or(plain)) {
+            return Ok(config);
+        }
+        findings.sort();
+        findings.dedup();
+        Err(findings)
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/fair/mod.rs
@@ -0,0 +1,30 @@
+//! Fair choice between customers over all sidecars of a service.
+//!
+//! [`GrantScheduler`] picks whose request runs next beside one endpoint. It adds what the sidecars
+//! of the same service report about their own work, so that service divided by share grows
+//! equally for every backlogged customer over the whole fleet.
+//!
+//! ```
+//! use cicadalock_core::fair::GrantScheduler;
+//! use cicadalock_core::id::{CustomerId, KindId, LinkId};
+//! use cicadalock_core::time::ClockTime;
+//!
+//! let (small, large, kind) = (CustomerId::new(1), CustomerId::new(2), KindId::new(1));
+//! let mut scheduler =
+//!     GrantScheduler::builder().customer(small, 1).customer(large, 1).kind(kind, 1, 10).build();
+//! let now = ClockTime::default();
+//! scheduler.set_bid(LinkId::new(1), large, kind, 1_000, now);
+//! scheduler.set_bid(LinkId::new(2), small, kind, 2, now);
+//! let picks: Vec<_> = (0..4).filter_map(|_| scheduler.pick(now)).map(|pick| pick.customer).collect();
+//! assert_eq!(picks.iter().filter(|customer| **customer == small).count(), 2);
+//! ```
+
+mod bids;
+mod estimates;
+mod peers;
+mod scheduler;
+
+pub use bids::BidBook;
+pub use estimates::CostEstimates;
+pub use peers::{PeerReport, PeerTotals, TotalEntry};
+pub use scheduler::{GrantScheduler, SchedulerBuilder, SchedulerPick};
--- /dev/null
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -0,0 +1,15 @@
+//! Names and numbers, each with a type of its own.
+//!
+//! ```
+//! use cicadalock_core::id::{CustomerId, CustomerName};
+//!
+//! let name: CustomerName = "skole-aarhus".parse()?;
+//! assert_eq!(CustomerId::of(&name), CustomerId::of(&name));
+//! # Ok::<(), cicadalock_core::id::NameError>(())
+//! ```
+
+mod name;
+mod number;
+
+pub use name::{CustomerName, HostName, KindName, NameError, ServiceName, ZoneName};
+pub use number::{CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision};
--- /dev/null
+++ b/crates/cicadalock-core/src/retry/mod.rs
@@ -0,0 +1,19 @@
+//! Limits that keep retries and failing endpoints from taking over the load.
+//!
+//! ```
+//! use cicadalock_core::retry::RetryBudget;
+//!
+//! let mut budget = RetryBudget::builder().ratio_percent(10).reserve(1).build();
+//! assert!(budget.try_spend());
+//! assert!(!budget.try_spend());
+//! for _ in 0..10 {
+//!     budget.deposit();
+//! }
+//! assert!(budget.try_spend());
+//! ```
+
+mod backoff;
+mod budget;
+
+pub use backoff::EndpointBackoff;
+pub use budget::{BudgetBuilder, RetryBudget};
--- /dev/null
+++ b/crates/cicadalock-core/src/router/machine.rs
@@ -0,0 +1,591 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::action::{CallerEvent, RouterAction};
+use super::bid_planner::{BidPlanner, NARROW_LINKS, is_stale};
+use super::failure::CallerFailure;
+use super::hold_queue::{HoldQueue, QueueKey};
+use super::link::SidecarLink;
+use super::push::PushQueue;
+use super::request::{CallerRequest, HeldRequest, RequestPhase};
+use crate::collect::SortedMap;
+use crate::config::{FleetConfig, SharingPolicy};
+use crate::id::{CustomerId, GrantId, HostName, KindId, LinkId, RequestId, ServiceName};
+use crate::member::{HostList, HostState};
+use crate::message::{
+    BidLine, BidUpdate, Decline, GrantOffer, PeerMessage, Ping, ReleaseClaim,
+};
+use crate::retry::RetryBudget;
+use crate::time::ClockTime;
+
+/// Deadlines are looked at this often.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A sidecar with work of this router that says nothing for longer is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// How long the word of a sidecar is awaited after a request was cancelled.
+pub(super) const CANCEL_GRACE: Duration = Duration::from_millis(500);
+
+/// Holds callers' requests, tells sidecars of them and hands one over for each grant.
+#[derive(Debug)]
+pub struct RouterMachine {
+    pub(super) config: Option<Arc<FleetConfig>>,
+    pub(super) hosts: HostList,
+    pub(super) links: SortedMap<LinkId, SidecarLink>,
+    pub(super) requests: SortedMap<RequestId, HeldRequest>,
+    /// Requests that wait for a grant.
+    pub(super) queue: HoldQueue,
+    /// Keyed requests that wait for a claim.
+    pub(super) parked: HoldQueue,
+    pub(super) grants: SortedMap<(LinkId, GrantId), RequestId>,
+    pub(super) budgets: SortedMap<ServiceName, RetryBudget>,
+    pub(super) push: PushQueue,
+    planner: BidPlanner,
+    dirty: Vec<QueueKey>,
+    pub(super) actions: Vec<RouterAction>,
+    body_bytes: u64,
+    swept: ClockTime,
+    seed: u64,
+    turn: u64,
+    pub(super) retries: u64,
+}
+
+/// Waiting requests of one customer and kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueReport {
+    /// The customer.
+    pub customer: CustomerId,
+    /// The kind.
+    pub kind: KindId,
+    /// Number of requests.
+    pub count: usize,
+}
+
+/// A connection to a sidecar.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LinkReport {
+    /// Host of the sidecar.
+    pub host: HostName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Whether new work may go there.
+    pub is_eligible: bool,
+    /// Requests that it has of this router.
+    pub outstanding: u32,
+}
+
+impl RouterMachine {
+    /// Creates a machine without configuration; `seed` varies the choice of sidecars.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            config: None,
+            hosts: HostList::default(),
+            links: SortedMap::new(),
+            requests: SortedMap::new(),
+            queue: HoldQueue::default(),
+            parked: HoldQueue::default(),
+            grants: SortedMap::new(),
+            budgets: SortedMap::new(),
+            push: PushQueue::default(),
+            planner: BidPlanner::default(),
+            dirty: Vec::new(),
+            actions: Vec::new(),
+            body_bytes: 0,
+            swept: ClockTime::default(),
+            seed,
+            turn: 0,
+            retries: 0,
+        }
+    }
+
+    /// Takes a configuration into force; requests in the router keep the limits they came with.
+    pub fn set_config(&mut self, config: Arc<FleetConfig>) {
+        self.push.reconfigure(&config);
+        self.config = Some(config);
+    }
+
+    /// Takes in a host list.
+    pub fn set_hosts(&mut self, hosts: HostList) {
+        self.hosts = hosts;
+        self.mark_all();
+    }
+
+    /// Takes in a caller's request.
+    pub fn submit(&mut self, id: RequestId, call: CallerRequest, now: ClockTime) {
+        if let Err(failure) = self.admit(&call) {
+            self.answer(id, CallerEvent::Fail(failure));
+            return;
+        }
+        self.body_bytes += call.body.len() as u64;
+        let budget = self.budgets.get_or_insert_with(call.service.clone(), || {
+            RetryBudget::builder().build()
+        });
+        budget.deposit();
+        let phase = match call.key {
+            Some(_) => RequestPhase::Unclaimed { ask_at: now },
+            None => RequestPhase::Waiting,
+        };
+        let request = HeldRequest {
+            call,
+            arrived: now,
+            phase,
+            answered: None,
+            is_gone: false,
+            may_have_run: false,
+        };
+        let key = queue_key(&request);
+        self.requests.insert(id, request);
+        if phase == RequestPhase::Waiting {
+            self.queue.push(key, id);
+            self.mark(key);
+        } else {
+            self.parked.push(key, id);
+            self.ask_home(id, now);
+        }
+    }
+
+    /// Notes that a caller went away; its request is dropped or cancelled.
+    pub fn caller_gone(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.is_gone = true;
+        match request.phase {
+            RequestPhase::HandedOver { .. } => self.cancel(id, now),
+            _ => self.drop_held(id),
+        }
+    }
+
+    /// Takes in a connection to the sidecar on `host`.
+    pub fn link_up(
+        &mut self,
+        link: LinkId,
+        host: HostName,
+        service: ServiceName,
+        leaving: bool,
+        now: ClockTime,
+    ) {
+        self.links.insert(link, SidecarLink::new(host, service, leaving, now));
+        self.mark_all();
+        self.ask_all(now);
+    }
+
+    /// Takes in a message of a sidecar.
+    pub fn receive(&mut self, link: LinkId, message: PeerMessage, now: ClockTime) {
+        let Some(sidecar) = self.links.get_mut(&link) else {
+            return;
+        };
+        sidecar.last_heard = now;
+        match message {
+            PeerMessage::Grant(grant) => self.use_grant(link, &grant, now),
+            PeerMessage::Refusal(refusal) => self.refused(link, refusal, now),
+            PeerMessage::Head(head) => self.answer_head(link, head),
+            PeerMessage::Chunk(chunk) => self.answer_chunk(link, chunk, now),
+            PeerMessage::End(end) => self.answer_end(link, end, now),
+            PeerMessage::ClaimReply(reply) => self.claim_reply(link, reply, now),
+            PeerMessage::Ping(Ping { resync: true }) => {
+                sidecar.told.clear();
+                self.mark_all();
+            }
+            PeerMessage::Leaving(_) => {
+                sidecar.is_leaving = true;
+                self.mark_all();
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets deadlines pass.
+    pub fn tick(&mut self, now: ClockTime) {
+        for key in self.planner.overdue(now) {
+            self.mark(key);
+        }
+        if now.since(self.swept) < SWEEP_INTERVAL {
+            return;
+        }
+        self.swept = now;
+        self.sweep_requests(now);
+        self.sweep_links(now);
+        self.ask_all(now);
+    }
+
+    /// When the next deadline may pass.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        let sweep = self.swept + SWEEP_INTERVAL;
+        self.planner.next_due().map_or(sweep, |due| due.min(sweep))
+    }
+
+    /// What is to be done now, with bids brought up to date.
+    pub fn take_actions(&mut self, now: ClockTime) -> Vec<RouterAction> {
+        self.update_bids(now);
+        self.push_waiting(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Requests in the router, from arrival to their last event.
+    #[must_use]
+    pub const fn held(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Retries made of requests that were handed over before.
+    #[must_use]
+    pub const fn retries(&self) -> u64 {
+        self.retries
+    }
+
+    /// Waiting requests by customer and kind.
+    pub fn queues(&self) -> impl Iterator<Item = QueueReport> {
+        self.queue.lengths().chain(self.parked.lengths()).map(|((customer, kind), count)| {
+            QueueReport {
+                customer,
+                kind,
+                count,
+            }
+        })
+    }
+
+    /// Connections to sidecars.
+    pub fn links(&self) -> impl Iterator<Item = LinkReport> {
+        self.links.values().map(|link| LinkReport {
+            host: link.host.clone(),
+            service: link.service.clone(),
+            is_eligible: self.is_eligible(link),
+            outstanding: link.outstanding,
+        })
+    }
+
+    fn admit(&mut self, call: &CallerRequest) -> Result<(), CallerFailure> {
+        let Some(config) = self.config.clone() else {
+            return Err(CallerFailure::no_capacity());
+        };
+        let limits = config.limits();
+        let key = (call.customer, call.kind);
+        let waiting = self.queue.len(key) + self.parked.len(key);
+        if waiting >= limits.queue_per_kind as usize {
+            return Err(CallerFailure::over_bound());
+        }
+        let is_full = self.requests.len() >= limits.requests_per_router as usize
+            || self.body_bytes + call.body.len() as u64 > limits.body_total;
+        if is_full && !self.shed_for(call.customer, &config) {
+            return Err(CallerFailure::router_full());
+        }
+        Ok(())
+    }
+
+    /// Drops the newest waiting request of the customer that holds most for its share.
+    ///
+    /// Returns false if that is `customer` itself.
+    fn shed_for(&mut self, customer: CustomerId, config: &FleetConfig) -> bool {
+        let load = |id: CustomerId, count: usize| {
+            count as f64 / config.customer(id).map_or(1.0, |customer| f64::from(customer.share))
+        };
+        let mut counts: SortedMap<CustomerId, usize> = SortedMap::new();
+        for ((id, _), count) in self.queue.lengths() {
+            *counts.get_or_insert_with(id, || 0) += count;
+        }
+        let own = load(customer, counts.get(&customer).copied().unwrap_or(0) + 1);
+        let greatest = counts
+            .iter()
+            .map(|(id, count)| (*id, load(*id, *count)))
+            .max_by(|left, right| left.1.total_cmp(&right.1));
+        let Some((victim, _)) = greatest.filter(|(id, held)| *id != customer && *held > own) else {
+            return false;
+        };
+        let longest = self
+            .queue
+            .lengths()
+            .filter(|((id, _), _)| *id == victim)
+            .max_by_key(|(_, count)| *count);
+        let Some(id) = longest.and_then(|(key, _)| self.queue.last(key)) else {
+            return false;
+        };
+        self.fail_held(id, CallerFailure::over_bound());
+        true
+    }
+
+    fn use_grant(&mut self, link: LinkId, offer: &GrantOffer, now: ClockTime) {
+        let key = (CustomerId::new(offer.customer), KindId::new(offer.kind));
+        let next = self.queue.requests(key).find(|id| {
+            self.requests
+                .get(id)
+                .is_some_and(|request| request.is_for(link) && now < request.queue_deadline())
+        });
+        let Some(id) = next else {
+            let left = self.count_for(link, key);
+            self.send(link, PeerMessage::Decline(Decline { grant: offer.grant, left }));
+            self.believe(link, key, left);
+            return;
+        };
+        self.queue.remove(key, id);
+        let left = self.count_for(link, key);
+        self.hand_over(id, link, GrantId::new(offer.grant), left, now);
+        self.believe(link, key, left);
+        self.mark(key);
+    }
+
+    pub(super) fn hand_over(
+        &mut self,
+        id: RequestId,
+        link: LinkId,
+        grant: GrantId,
+        left: u32,
+        now: ClockTime,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let message = request.hand_over(grant, id.get(), left, now);
+        let cancelled = None;
+        request.phase = RequestPhase::HandedOver { link, grant, cancelled };
+        self.grants.insert((link, grant), id);
+        if let Some(sidecar) = self.links.get_mut(&link) {
+            if sidecar.outstanding == 0 {
+                sidecar.last_heard = now;
+            }
+            sidecar.outstanding += 1;
+        }
+        self.send(link, PeerMessage::HandOver(message));
+    }
+
+    fn believe(&mut self, link: LinkId, key: QueueKey, count: u32) {
+        if let Some(sidecar) = self.links.get_mut(&link) {
+            sidecar.set_told(key, count);
+        }
+    }
+
+    /// Requests of a queue that `link` may run.
+    fn count_for(&self, link: LinkId, key: QueueKey) -> u32 {
+        let eligible = self.queue.requests(key).filter(|id| {
+            self.requests.get(id).is_some_and(|request| request.is_for(link))
+        });
+        u32::try_from(eligible.count()).unwrap_or(u32::MAX)
+    }
+
+    fn update_bids(&mut self, now: ClockTime) {
+        if self.is_push() {
+            self.dirty.clear();
+            return;
+        }
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.sort_unstable();
+        dirty.dedup();
+        let mut updates: SortedMap<LinkId, Vec<BidLine>> = SortedMap::new();
+        for key in dirty {
+            self.plan_queue(key, now, &mut updates);
+        }
+        for (link, lines) in updates.iter() {
+            let message = PeerMessage::Bid(BidUpdate { lines: lines.clone() });
+            self.send(*link, message);
+        }
+    }
+
+    fn plan_queue(
+        &mut self,
+        key: QueueKey,
+        now: ClockTime,
+        updates: &mut SortedMap<LinkId, Vec<BidLine>>,
+    ) {
+        let has_requests = self.queue.len(key) > 0;
+        let is_wide = self.planner.update(key, has_requests, now);
+        let service = self.config.as_ref().and_then(|config| config.kind(key.1));
+        let service = service.map(|kind| kind.service.clone());
+        let candidates: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| Some(&link.service) == service.as_ref() && self.is_eligible(link))
+            .map(|(id, _)| *id)
+            .collect();
+        let chosen = self.choose(&candidates, is_wide, key);
+        let told: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(id, link)| link.told(key) > 0 || chosen.binary_search(id).is_ok())
+            .map(|(id, _)| *id)
+            .collect();
+        for link in told {
+            let is_candidate = candidates.binary_search(&link).is_ok();
+            let count = if is_candidate { self.count_for(link, key) } else { 0 };
+            let Some(sidecar) = self.links.get_mut(&link) else {
+                continue;
+            };
+            if is_stale(sidecar.told(key), count) {
+                sidecar.set_told(key, count);
+                updates.get_or_insert_with(link, Vec::new).push(BidLine {
+                    customer: key.0.get(),
+                    kind: key.1.get(),
+                    count,
+                });
+            }
+        }
+    }
+
+    /// Links that are to hear of a queue, sorted.
+    fn choose(&mut self, candidates: &[LinkId], is_wide: bool, key: QueueKey) -> Vec<LinkId> {
+        let claimed = self.queue.requests(key).filter_map(|id| {
+            self.requests.get(&id).and_then(HeldRequest::link)
+        });
+        let mut chosen: Vec<LinkId> = claimed.collect();
+        if is_wide || candidates.len() <= NARROW_LINKS {
+            chosen.extend(candidates);
+        } else {
+            let known = candidates.iter().filter(|id| {
+                self.links.get(id).is_some_and(|link| link.told(key) > 0)
+            });
+            let known = known.count();
+            self.turn += 1;
+            let start = xxh3_64_with_seed(&self.turn.to_le_bytes(), self.seed) as usize;
+            for step in 0..NARROW_LINKS.saturating_sub(known) {
+                chosen.push(candidates[start.wrapping_add(step) % candidates.len()]);
+            }
+        }
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    }
+
+    /// Tells whether new work may go to a sidecar.
+    ///
+    /// The host list is believed when it says that a sidecar is leaving. A list without any live
+    /// sidecar of a service is not believed for the others of that service.
+    pub(super) fn is_eligible(&self, link: &SidecarLink) -> bool {
+        if link.is_leaving {
+            return false;
+        }
+        match self.hosts.get(&link.host) {
+            Some(host) => host.state == HostState::Live,
+            None => self.hosts.homes(&link.service).is_empty(),
+        }
+    }
+
+    fn sweep_requests(&mut self, now: ClockTime) {
+        let mut late = Vec::new();
+        for (id, request) in self.requests.iter() {
+            let deadline = match request.phase {
+                RequestPhase::HandedOver { cancelled: Some(at), .. } => at + CANCEL_GRACE,
+                RequestPhase::HandedOver { .. } => request.deadline(),
+                _ => request.queue_deadline(),
+            };
+            if now >= deadline {
+                late.push(*id);
+            }
+        }
+        for id in late {
+            self.expire(id, now);
+        }
+    }
+
+    fn expire(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match request.phase {
+            RequestPhase::HandedOver { cancelled: None, .. } => self.cancel(id, now),
+            RequestPhase::HandedOver { .. } => self.end_unknown(id, CallerFailure::timed_out()),
+            RequestPhase::Unclaimed { .. } | RequestPhase::Claiming { .. } => {
+                self.fail_held(id, CallerFailure::home_silent());
+            }
+            RequestPhase::Waiting | RequestPhase::Claimed { .. } => {
+                self.fail_held(id, CallerFailure::no_capacity());
+            }
+        }
+    }
+
+    fn sweep_links(&mut self, now: ClockTime) {
+        let silent: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| {
+                link.outstanding > 0 && now.since(link.last_heard) > SILENCE_LIMIT
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for link in silent {
+            self.actions.push(RouterAction::Close(link));
+            self.link_down(link, now);
+        }
+    }
+
+    /// Removes a request that is not handed over, and tells its caller why.
+    fn fail_held(&mut self, id: RequestId, failure: CallerFailure) {
+        self.drop_queued(id);
+        self.fail(id, failure);
+    }
+
+    /// Tells a caller why there is no answer; an earlier attempt makes the outcome unknown.
+    pub(super) fn fail(&mut self, id: RequestId, failure: CallerFailure) {
+        let may_have_run = self.requests.get(&id).is_some_and(|request| request.may_have_run);
+        let failure = if may_have_run { CallerFailure::timed_out() } else { failure };
+        self.finish(id, CallerEvent::Fail(failure));
+    }
+
+    fn drop_held(&mut self, id: RequestId) {
+        self.drop_queued(id);
+        self.forget(id);
+    }
+
+    fn drop_queued(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let key = queue_key(request);
+        if let RequestPhase::Claimed { link } | RequestPhase::Claiming { link, .. } = request.phase {
+            let request = id.get();
+            self.send(link, PeerMessage::Release(ReleaseClaim { request }));
+        }
+        self.parked.remove(key, id);
+        if self.queue.remove(key, id) {
+            self.mark(key);
+        }
+    }
+
+    /// Tells the last event of a request and forgets it.
+    pub(super) fn finish(&mut self, id: RequestId, event: CallerEvent) {
+        let is_gone = self.requests.get(&id).is_none_or(|request| request.is_gone);
+        self.forget(id);
+        if !is_gone {
+            self.answer(id, event);
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.remove(&id) {
+            self.body_bytes -= request.call.body.len() as u64;
+        }
+    }
+
+    pub(super) fn answer(&mut self, request: RequestId, event: CallerEvent) {
+        self.actions.push(RouterAction::Answer { request, event });
+    }
+
+    pub(super) fn send(&mut self, link: LinkId, message: PeerMessage) {
+        self.actions.push(RouterAction::Send { link, message });
+    }
+
+    pub(super) fn mark(&mut self, key: QueueKey) {
+        self.dirty.push(key);
+    }
+
+    pub(super) fn mark_all(&mut self) {
+        let keys: Vec<QueueKey> = self.queue.lengths().map(|(key, _)| key).collect();
+        self.dirty.extend(keys);
+    }
+
+    pub(super) fn is_push(&self) -> bool {
+        self.policy().is_push()
+    }
+
+    pub(super) fn policy(&self) -> SharingPolicy {
+        self.config.as_ref().map_or(SharingPolicy::Fleet, |config| config.limits().policy)
+    }
+}
+
+/// The queue in which a request waits.
+pub(super) const fn queue_key(request: &HeldRequest) -> QueueKey {
+    (request.call.customer, request.call.kind)
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/router/settle.rs
@@ -0,0 +1,203 @@
+use std::time::Duration;
+
+use super::action::CallerEvent;
+use super::failure::CallerFailure;
+use super::machine::{RouterMachine, queue_key};
+use super::request::RequestPhase;
+use crate::id::{GrantId, LinkId, RequestId, ServiceName};
+use crate::message::{
+    AnswerChunk, AnswerEnd, AnswerHead, CancelWork, PeerMessage, Refusal, end_state, refusal_reason,
+};
+use crate::retry::RetryBudget;
+use crate::time::ClockTime;
+
+/// Pause before a refused keyed request asks its home again.
+const REFUSED_DELAY: Duration = Duration::from_millis(50);
+
+impl RouterMachine {
+    /// Notes the loss of a connection: what was handed over there is retried or unknown.
+    pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
+        if self.links.remove(&link).is_none() {
+            return;
+        }
+        let affected: Vec<RequestId> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.link() == Some(link))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in affected {
+            self.lose(id, now);
+        }
+        self.mark_all();
+    }
+
+    /// Settles a request whose sidecar can no longer be heard.
+    fn lose(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match request.phase {
+            RequestPhase::HandedOver { link, grant, .. } => {
+                self.close_grant(link, grant);
+                self.retry_or_fail(id, now);
+            }
+            RequestPhase::Claiming { .. } | RequestPhase::Claimed { .. } => self.unclaim(id, now),
+            RequestPhase::Waiting | RequestPhase::Unclaimed { .. } => {}
+        }
+    }
+
+    /// Cancels a request that a sidecar has.
+    pub(super) fn cancel(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let RequestPhase::HandedOver { link, grant, cancelled } = &mut request.phase else {
+            return;
+        };
+        cancelled.get_or_insert(now);
+        let (link, grant) = (*link, grant.get());
+        self.send(link, PeerMessage::Cancel(CancelWork { grant }));
+    }
+
+    /// The sidecar did not run the request and will not.
+    pub(super) fn refused(&mut self, link: LinkId, refusal: Refusal, now: ClockTime) {
+        let Some(id) = self.close_grant(link, GrantId::new(refusal.grant)) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let was_cancelled =
+            matches!(request.phase, RequestPhase::HandedOver { cancelled: Some(_), .. });
+        let is_over = was_cancelled || request.is_gone || now >= request.queue_deadline();
+        if is_over || refusal.reason == refusal_reason::OUT_OF_TIME {
+            self.fail(id, CallerFailure::no_capacity());
+        } else if request.call.key.is_some() {
+            self.unclaim(id, now + REFUSED_DELAY);
+        } else {
+            self.wait_again(id);
+        }
+    }
+
+    pub(super) fn answer_head(&mut self, link: LinkId, head: AnswerHead) {
+        let Some(id) = self.request_of(link, head.grant) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.answered.is_none())
+        else {
+            return;
+        };
+        request.answered = Some(0);
+        if !request.is_gone {
+            let (status, headers) = (head.status as u16, head.headers);
+            self.answer(id, CallerEvent::Head { status, headers });
+        }
+    }
+
+    pub(super) fn answer_chunk(&mut self, link: LinkId, chunk: AnswerChunk, now: ClockTime) {
+        let Some(id) = self.request_of(link, chunk.grant) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.answered != Some(chunk.offset) {
+            self.cancel(id, now);
+            self.close_grant(link, GrantId::new(chunk.grant));
+            self.end_unknown(id, CallerFailure::broken());
+            return;
+        }
+        request.answered = Some(chunk.offset + chunk.bytes.len() as u64);
+        if !request.is_gone {
+            self.answer(id, CallerEvent::Chunk(chunk.bytes));
+        }
+    }
+
+    pub(super) fn answer_end(&mut self, link: LinkId, end: AnswerEnd, now: ClockTime) {
+        let Some(id) = self.close_grant(link, GrantId::new(end.grant)) else {
+            return;
+        };
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let is_whole = end.state == end_state::COMPLETE && request.answered == Some(end.length);
+        if is_whole {
+            self.finish(id, CallerEvent::Complete);
+        } else {
+            self.retry_or_fail(id, now);
+        }
+    }
+
+    /// Runs an idempotent request again if nothing of its answer was passed on, else fails it.
+    fn retry_or_fail(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let was_cancelled =
+            matches!(request.phase, RequestPhase::HandedOver { cancelled: Some(_), .. });
+        let may_retry = request.call.idempotent
+            && request.answered.is_none()
+            && !request.is_gone
+            && !was_cancelled
+            && now < request.queue_deadline();
+        let service = request.call.service.clone();
+        if may_retry && self.spend_retry(&service) {
+            self.retries += 1;
+            self.note_may_have_run(id);
+            self.wait_again(id);
+        } else if was_cancelled {
+            self.end_unknown(id, CallerFailure::timed_out());
+        } else {
+            self.end_unknown(id, CallerFailure::broken());
+        }
+    }
+
+    /// Tells a caller that its request may have run, by a visible break if an answer has begun.
+    pub(super) fn end_unknown(&mut self, id: RequestId, failure: CallerFailure) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let event = match request.answered {
+            Some(_) => CallerEvent::Break,
+            None => CallerEvent::Fail(failure),
+        };
+        if let RequestPhase::HandedOver { link, grant, .. } = request.phase {
+            self.close_grant(link, grant);
+        }
+        self.finish(id, event);
+    }
+
+    fn spend_retry(&mut self, service: &ServiceName) -> bool {
+        self.budgets.get_mut(service).is_some_and(RetryBudget::try_spend)
+    }
+
+    fn note_may_have_run(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.may_have_run = true;
+        }
+    }
+
+    fn wait_again(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.phase = RequestPhase::Waiting;
+        let key = queue_key(request);
+        self.queue.push_front(key, id);
+        self.mark(key);
+    }
+
+    fn request_of(&self, link: LinkId, grant: u64) -> Option<RequestId> {
+        self.grants.get(&(link, GrantId::new(grant))).copied()
+    }
+
+    /// Forgets a grant, so that nothing said of it later counts.
+    fn close_grant(&mut self, link: LinkId, grant: GrantId) -> Option<RequestId> {
+        let id = self.grants.remove(&(link, grant))?;
+        if let Some(sidecar) = self.links.get_mut(&link) {
+            sidecar.outstanding = sidecar.outstanding.saturating_sub(1);
+        }
+        Some(id)
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+use super::machine::SidecarMachine;
+use crate::config::SharingPolicy;
+use crate::fair::{PeerReport, TotalEntry};
+use crate::id::{CustomerId, LinkId};
+use crate::message::{PeerMessage, TotalLine, TotalsReport};
+use crate::time::ClockTime;
+
+/// Homes of keys confirm their view to each other this often.
+const VIEW_INTERVAL: Duration = Duration::from_millis(250);
+
+impl SidecarMachine {
+    /// Takes in a message of another sidecar.
+    pub(super) fn receive_from_peer(&mut self, link: LinkId, message: PeerMessage, now: ClockTime) {
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
+        let host = peer.host.clone();
+        match message {
+            PeerMessage::Totals(report) if self.policy() == SharingPolicy::Fleet => {
+                let report = PeerReport {
+                    host,
+                    incarnation: peer.incarnation,
+                    sequence: report.sequence,
+                    entries: report.lines.iter().map(entry_from_line).collect(),
+                };
+                self.scheduler.merge(&report, now);
+            }
+            PeerMessage::View(word) => self.lease.hear(&host, &word, now),
+            PeerMessage::Leaving(_) => self.lease.depart(&host),
+            _ => {}
+        }
+    }
+
+    /// Sends totals and views whose interval has passed.
+    pub(super) fn exchange(&mut self, now: ClockTime) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        if now.since(self.exchanged) >= config.limits().exchange_interval {
+            self.exchanged = now;
+            self.send_totals();
+        }
+        if now.since(self.told_view) >= VIEW_INTERVAL && !self.is_leaving() {
+            self.told_view = now;
+            self.send_views(now);
+        }
+    }
+
+    fn send_totals(&mut self) {
+        if self.policy() != SharingPolicy::Fleet {
+            return;
+        }
+        let host = self.host.clone();
+        let changes = self.scheduler.report(&host);
+        let links: Vec<(LinkId, bool)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_dialled)
+            .map(|(link, peer)| (*link, peer.needs_full_report))
+            .collect();
+        for (link, needs_full) in links {
+            let report = if needs_full { self.scheduler.full_report(&host) } else { changes.clone() };
+            if let Some(peer) = self.peers.get_mut(&link) {
+                peer.needs_full_report = false;
+            }
+            self.send(link, PeerMessage::Totals(message_from_report(&report)));
+        }
+    }
+
+    fn send_views(&mut self, now: ClockTime) {
+        let links: Vec<LinkId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_dialled)
+            .map(|(link, _)| *link)
+            .collect();
+        for link in links {
+            let Some(peer) = self.peers.get(&link) else {
+                continue;
+            };
+            let word = self.lease.word_for(&peer.host, now);
+            self.send(link, PeerMessage::View(word));
+        }
+    }
+}
+
+fn entry_from_line(line: &TotalLine) -> TotalEntry {
+    TotalEntry {
+        customer: CustomerId::new(line.customer),
+        total: line.total,
+        backlogged: line.backlogged,
+        lead: f64::from(line.lead),
+    }
+}
+
+fn message_from_report(report: &PeerReport) -> TotalsReport {
+    let lines = report.entries.iter().map(|entry| TotalLine {
+        customer: entry.customer.get(),
+        total: entry.total,
+        backlogged: entry.backlogged,
+        lead: entry.lead as f32,
+    });
+    TotalsReport {
+        sequence: report.sequence,
+        lines: lines.collect(),
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/sidecar/keyed.rs
@@ -0,0 +1,138 @@
+use super::machine::SidecarMachine;
+use crate::id::{CustomerId, LinkId, RequestId};
+use crate::message::{ClaimKey, ClaimReply, HeaderField, PeerMessage, claim_verdict};
+use crate::outcome::{BodyDigest, IdempotencyKey, LedgerVerdict, StoredAnswer};
+use crate::time::{ClockTime, WallTime};
+
+/// A key whose claim is held for a request that has not come yet.
+#[derive(Debug, Clone)]
+pub(super) struct ClaimedKey {
+    pub(super) customer: CustomerId,
+    pub(super) key: IdempotencyKey,
+    pub(super) body: BodyDigest,
+}
+
+impl SidecarMachine {
+    /// Decides whether a keyed request may run here.
+    pub(super) fn claim(&mut self, link: LinkId, ask: &ClaimKey, now: ClockTime, wall: WallTime) {
+        let request = RequestId::new(ask.request);
+        let (Ok(key), Some(body)) =
+            (ask.key.parse::<IdempotencyKey>(), BodyDigest::from_bytes(&ask.digest))
+        else {
+            self.reply(link, request, claim_verdict::UNKNOWN);
+            return;
+        };
+        let customer = CustomerId::new(ask.customer);
+        let claimed = ClaimedKey { customer, key, body };
+        if self.holds(link, request, &claimed) {
+            self.reply(link, request, claim_verdict::HELD);
+            return;
+        }
+        match self.decide(&claimed, now, wall) {
+            Some(LedgerVerdict::Run) => {
+                self.claims.insert((link, request), claimed);
+                self.reply(link, request, claim_verdict::HELD);
+            }
+            Some(LedgerVerdict::Replay(answer)) => self.reply_answer(link, request, &answer),
+            Some(verdict) => self.reply(link, request, verdict_code(&verdict)),
+            None => self.reply(link, request, claim_verdict::UNSETTLED),
+        }
+    }
+
+    /// Until when a claimed request may begin; none if it may not.
+    pub(super) fn check_claim(
+        &mut self,
+        link: LinkId,
+        request: RequestId,
+        now: ClockTime,
+        wall: WallTime,
+    ) -> Option<ClockTime> {
+        let claimed = self.claims.get(&(link, request))?.clone();
+        let is_fresh = self.settled_since(&claimed.key, now, wall).is_some_and(|after| {
+            self.ledger.is_fresh(&claimed.key, after, wall)
+        });
+        if is_fresh { self.lease.held_until() } else { None }
+    }
+
+    /// The request of a claim has begun; the ledger keeps its key.
+    pub(super) fn consume_claim(&mut self, link: LinkId, request: RequestId) {
+        self.claims.remove(&(link, request));
+    }
+
+    /// Gives a claim back: its request did not run.
+    pub(super) fn release_claim(&mut self, link: LinkId, request: RequestId) {
+        if let Some(claimed) = self.claims.remove(&(link, request)) {
+            self.ledger.release(claimed.customer, &claimed.key);
+        }
+    }
+
+    /// Gives back every claim of a connection.
+    pub(super) fn release_claims(&mut self, link: LinkId) {
+        let requests: Vec<RequestId> = self
+            .claims
+            .keys()
+            .filter(|(owner, _)| *owner == link)
+            .map(|(_, request)| *request)
+            .collect();
+        for request in requests {
+            self.release_claim(link, request);
+        }
+    }
+
+    fn holds(&self, link: LinkId, request: RequestId, asked: &ClaimedKey) -> bool {
+        self.claims.get(&(link, request)).is_some_and(|claimed| {
+            claimed.key == asked.key && claimed.customer == asked.customer && claimed.body == asked.body
+        })
+    }
+
+    fn decide(&mut self, asked: &ClaimedKey, now: ClockTime, wall: WallTime) -> Option<LedgerVerdict> {
+        let remembered = self.ledger.recall(asked.customer, &asked.key, asked.body);
+        if remembered.is_some() {
+            return remembered;
+        }
+        let fresh_after = self.settled_since(&asked.key, now, wall)?;
+        Some(self.ledger.claim(asked.customer, &asked.key, asked.body, fresh_after, wall))
+    }
+
+    /// The time after which a key must have been minted, if this sidecar is surely its home.
+    fn settled_since(&mut self, key: &IdempotencyKey, now: ClockTime, wall: WallTime) -> Option<WallTime> {
+        if self.is_leaving() || !self.lease.is_held(now, wall) || !self.lease.is_home(key.as_str()) {
+            return None;
+        }
+        self.lease.minted_after(key.as_str())
+    }
+
+    fn reply(&mut self, link: LinkId, request: RequestId, verdict: u32) {
+        self.send(link, PeerMessage::ClaimReply(ClaimReply {
+            request: request.get(),
+            verdict,
+            ..ClaimReply::default()
+        }));
+    }
+
+    fn reply_answer(&mut self, link: LinkId, request: RequestId, answer: &StoredAnswer) {
+        let headers = answer.headers.iter().map(|(name, value)| HeaderField {
+            name: name.to_string(),
+            value: value.to_string(),
+        });
+        self.send(link, PeerMessage::ClaimReply(ClaimReply {
+            request: request.get(),
+            verdict: claim_verdict::REPLAY,
+            status: u32::from(answer.status),
+            headers: headers.collect(),
+            body: answer.body.clone(),
+        }));
+    }
+}
+
+const fn verdict_code(verdict: &LedgerVerdict) -> u32 {
+    match verdict {
+        LedgerVerdict::Run => claim_verdict::HELD,
+        LedgerVerdict::InProgress => claim_verdict::IN_PROGRESS,
+        LedgerVerdict::Replay(_) => claim_verdict::REPLAY,
+        LedgerVerdict::Unknown => claim_verdict::UNKNOWN,
+        LedgerVerdict::Conflict => claim_verdict::CONFLICT,
+        LedgerVerdict::FromFuture => claim_verdict::FROM_FUTURE,
+        LedgerVerdict::Full => claim_verdict::FULL,
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -0,0 +1,456 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::action::SidecarAction;
+use super::builder::SidecarBuilder;
+use super::grant::{GrantPhase, OpenGrant};
+use super::keyed::ClaimedKey;
+use crate::collect::SortedMap;
+use crate::config::{FleetConfig, ServiceConfig, SharingPolicy};
+use crate::fair::GrantScheduler;
+use crate::id::{
+    CustomerId, GrantId, HostName, Incarnation, KindId, LinkId, RequestId, Revision, ServiceName,
+};
+use crate::member::{HostList, HostState, ViewLease};
+use crate::message::{
+    BidUpdate, CancelWork, GrantOffer, LeavingNotice, PeerMessage, Ping, Refusal, refusal_reason,
+};
+use crate::outcome::OutcomeLedger;
+use crate::retry::EndpointBackoff;
+use crate::time::{ClockTime, WallTime};
+
+/// Leases, running costs and signs of life are looked at this often.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A router with running work hears something at least this often.
+const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Grants runs at one endpoint and settles their outcomes.
+#[derive(Debug)]
+pub struct SidecarMachine {
+    pub(super) host: HostName,
+    pub(super) service: ServiceName,
+    pub(super) incarnation: Incarnation,
+    pub(super) config: Option<Arc<FleetConfig>>,
+    pub(super) scheduler: GrantScheduler,
+    pub(super) ledger: OutcomeLedger,
+    pub(super) lease: ViewLease,
+    pub(super) backoff: EndpointBackoff,
+    pub(super) routers: SortedMap<LinkId, RouterLink>,
+    pub(super) peers: SortedMap<LinkId, PeerLink>,
+    pub(super) grants: SortedMap<GrantId, OpenGrant>,
+    /// Requests that are here and wait for a free slot, in order of arrival.
+    pub(super) staged: VecDeque<GrantId>,
+    pub(super) claims: SortedMap<(LinkId, RequestId), ClaimedKey>,
+    pub(super) actions: Vec<SidecarAction>,
+    pub(super) last_failed: Option<CustomerId>,
+    pub(super) is_stopping: bool,
+    pub(super) is_listed_leaving: bool,
+    pub(super) exchanged: ClockTime,
+    pub(super) told_view: ClockTime,
+    next_grant: u64,
+    swept: ClockTime,
+    pinged: ClockTime,
+}
+
+/// A connection to a router.
+#[derive(Debug, Clone)]
+pub(super) struct RouterLink {
+    pub(super) host: HostName,
+    /// A grant's lease has run out since the router was last heard.
+    pub(super) is_muted: bool,
+}
+
+/// A connection to another sidecar of the service.
+#[derive(Debug, Clone)]
+pub(super) struct PeerLink {
+    pub(super) host: HostName,
+    pub(super) incarnation: Incarnation,
+    /// Whether this process opened the connection, and therefore reports on it.
+    pub(super) is_dialled: bool,
+    pub(super) needs_full_report: bool,
+}
+
+/// What a sidecar believes now.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SidecarReport {
+    /// Calls that the endpoint has.
+    pub running: usize,
+    /// Requests that wait here for a free slot.
+    pub staged: usize,
+    /// Grants whose request has not come.
+    pub offered: usize,
+    /// Waiting requests that routers told of.
+    pub waiting: Vec<(CustomerId, KindId, u32)>,
+    /// Cost charged since the start.
+    pub totals: Vec<(CustomerId, i64)>,
+    /// Whether no new work is taken.
+    pub is_leaving: bool,
+    /// Whether the endpoint's last answers were failures.
+    pub is_failing: bool,
+    /// Keys remembered.
+    pub keys: usize,
+    /// Homes of keys whose word is missing.
+    pub missing_words: Vec<HostName>,
+}
+
+impl SidecarMachine {
+    /// Starts the construction of the machine of the sidecar on `host`.
+    #[must_use]
+    pub const fn builder(host: HostName, service: ServiceName) -> SidecarBuilder {
+        SidecarBuilder::new(host, service)
+    }
+
+    pub(super) fn assemble(
+        builder: SidecarBuilder,
+        scheduler: GrantScheduler,
+        ledger: OutcomeLedger,
+        lease: ViewLease,
+        backoff: EndpointBackoff,
+    ) -> Self {
+        Self {
+            host: builder.host,
+            service: builder.service,
+            incarnation: builder.incarnation,
+            config: None,
+            scheduler,
+            ledger,
+            lease,
+            backoff,
+            routers: SortedMap::new(),
+            peers: SortedMap::new(),
+            grants: SortedMap::new(),
+            staged: VecDeque::new(),
+            claims: SortedMap::new(),
+            actions: Vec::new(),
+            last_failed: None,
+            is_stopping: false,
+            is_listed_leaving: false,
+            exchanged: ClockTime::default(),
+            told_view: ClockTime::default(),
+            next_grant: 0,
+            swept: ClockTime::default(),
+            pinged: ClockTime::default(),
+        }
+    }
+
+    /// Takes a configuration into force.
+    pub fn set_config(&mut self, config: Arc<FleetConfig>, wall: WallTime) {
+        if let Some(service) = config.service(&self.service) {
+            let builder = config.scheduler(service).incarnation(self.incarnation);
+            self.scheduler.reconfigure(builder);
+        }
+        let limits = config.limits();
+        self.ledger.set_limits(limits.key_window, limits.clock_skew, wall);
+        self.config = Some(config);
+        for link in self.routers.keys() {
+            let message = PeerMessage::Ping(Ping { resync: true });
+            self.actions.push(SidecarAction::Send { link: *link, message });
+        }
+    }
+
+    /// Takes in a host list with its revision.
+    pub fn set_hosts(&mut self, hosts: &HostList, revision: Revision) {
+        let homes = hosts.homes(&self.service);
+        self.lease.set_homes(homes, revision, hosts.previous());
+        let own = hosts.get(&self.host);
+        let was_leaving = self.is_leaving();
+        self.is_listed_leaving = own.is_some_and(|host| host.state == HostState::Leaving);
+        if self.is_leaving() != was_leaving {
+            self.change_leaving();
+        }
+    }
+
+    /// Begins a planned stop: no new work is taken.
+    pub fn stop(&mut self) {
+        if !self.is_leaving() {
+            self.is_stopping = true;
+            self.change_leaving();
+        }
+        self.is_stopping = true;
+    }
+
+    /// Takes in a connection of the router on `host`; an older one of the same router is given up.
+    pub fn router_up(&mut self, link: LinkId, host: HostName, now: ClockTime) {
+        let older: Vec<LinkId> = self
+            .routers
+            .iter()
+            .filter(|(_, router)| router.host == host)
+            .map(|(id, _)| *id)
+            .collect();
+        for old in older {
+            self.link_down(old, now);
+        }
+        self.routers.insert(link, RouterLink { host, is_muted: false });
+    }
+
+    /// Takes in a connection to the sidecar on `host`.
+    pub fn peer_up(&mut self, link: LinkId, host: HostName, incarnation: Incarnation, dialled: bool) {
+        self.lease.reset_peer(&host);
+        self.peers.insert(link, PeerLink {
+            host,
+            incarnation,
+            is_dialled: dialled,
+            needs_full_report: true,
+        });
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, link: LinkId, message: PeerMessage, now: ClockTime, wall: WallTime) {
+        if self.peers.contains_key(&link) {
+            self.receive_from_peer(link, message, now);
+        } else if self.routers.contains_key(&link) {
+            self.unmute(link);
+            self.receive_from_router(link, message, now, wall);
+        }
+    }
+
+    /// Notes the loss of a connection.
+    pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
+        self.peers.remove(&link);
+        if self.routers.remove(&link).is_none() {
+            return;
+        }
+        self.scheduler.drop_link(link, now);
+        let lost: Vec<GrantId> = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| grant.link == link)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.lose_grant(id);
+        }
+        self.release_claims(link);
+    }
+
+    /// Lets leases and intervals pass.
+    pub fn tick(&mut self, now: ClockTime, wall: WallTime) {
+        if now.since(self.swept) < SWEEP_INTERVAL {
+            return;
+        }
+        self.swept = now;
+        self.scheduler.tick(now);
+        self.void_expired(now);
+        self.charge_running(now);
+        self.exchange(now);
+        self.lease.is_held(now, wall);
+        if now.since(self.pinged) >= PING_INTERVAL {
+            self.pinged = now;
+            self.ping_routers();
+        }
+    }
+
+    /// What is to be done now, with free slots filled and offered.
+    pub fn take_actions(&mut self, now: ClockTime, wall: WallTime) -> Vec<SidecarAction> {
+        self.start_staged(now, wall);
+        self.offer_grants(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Tells whether no new work is taken.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.is_stopping || self.is_listed_leaving
+    }
+
+    /// Tells whether no request is here or on its way.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
+        self.grants.is_empty()
+    }
+
+    /// What the sidecar believes at `now`.
+    #[must_use]
+    pub fn report(&self, now: ClockTime) -> SidecarReport {
+        let running = self.running();
+        let waiting = self.scheduler.bids().waiting();
+        SidecarReport {
+            running,
+            staged: self.staged.len(),
+            offered: self.grants.len() - running - self.staged.len(),
+            waiting: waiting.iter().map(|((owner, kind), count)| (*owner, *kind, *count)).collect(),
+            totals: self.scheduler.own_totals().collect(),
+            is_leaving: self.is_leaving(),
+            is_failing: self.backoff.is_failing(),
+            keys: self.ledger.len(),
+            missing_words: self.lease.missing(now).cloned().collect(),
+        }
+    }
+
+    fn receive_from_router(
+        &mut self,
+        link: LinkId,
+        message: PeerMessage,
+        now: ClockTime,
+        wall: WallTime,
+    ) {
+        match message {
+            PeerMessage::Bid(update) => self.take_bids(link, &update, now),
+            PeerMessage::HandOver(request) => self.take_request(link, request, now),
+            PeerMessage::Decline(decline) => {
+                self.declined(link, GrantId::new(decline.grant), decline.left, now);
+            }
+            PeerMessage::Cancel(cancel) => self.cancelled(link, &cancel),
+            PeerMessage::Claim(claim) => self.claim(link, &claim, now, wall),
+            PeerMessage::Release(release) => {
+                self.release_claim(link, RequestId::new(release.request));
+            }
+            PeerMessage::Credit(credit) => self.actions.push(SidecarAction::Credit {
+                grant: GrantId::new(credit.grant),
+                units: credit.units,
+            }),
+            _ => {}
+        }
+    }
+
+    fn take_bids(&mut self, link: LinkId, update: &BidUpdate, now: ClockTime) {
+        for line in &update.lines {
+            let (customer, kind) = (CustomerId::new(line.customer), KindId::new(line.kind));
+            self.scheduler.set_bid(link, customer, kind, line.count, now);
+        }
+    }
+
+    fn declined(&mut self, link: LinkId, id: GrantId, left: u32, now: ClockTime) {
+        let is_offered = self.grants.get(&id).is_some_and(|grant| {
+            grant.link == link && matches!(grant.phase, GrantPhase::Offered { .. })
+        });
+        if !is_offered {
+            return;
+        }
+        if let Some(grant) = self.void(id) {
+            self.scheduler.set_bid(link, grant.customer, grant.kind, left, now);
+        }
+    }
+
+    fn cancelled(&mut self, link: LinkId, cancel: &CancelWork) {
+        let id = GrantId::new(cancel.grant);
+        let Some(grant) = self.grants.get(&id).filter(|grant| grant.link == link) else {
+            return;
+        };
+        match &grant.phase {
+            GrantPhase::Staged { .. } => self.refuse_staged(id, refusal_reason::CANCELLED),
+            GrantPhase::Running { is_abortable: true, .. } => {
+                self.actions.push(SidecarAction::Abort(id));
+            }
+            GrantPhase::Running { .. } | GrantPhase::Offered { .. } => {}
+        }
+    }
+
+    /// Offers grants while the endpoint has free slots, and a few ahead.
+    fn offer_grants(&mut self, now: ClockTime) {
+        let Some(service) = self.service_config() else {
+            return;
+        };
+        if self.is_leaving() || self.policy().is_push() {
+            return;
+        }
+        let slots = service.slots as usize;
+        let limit = match self.backoff.slot_limit(slots, now) {
+            limit if limit == slots => slots + service.ahead as usize,
+            limit => limit,
+        };
+        while self.grants.len() < limit {
+            let Some(pick) = self.scheduler.pick(now) else {
+                return;
+            };
+            self.next_grant += 1;
+            let id = GrantId::new(self.next_grant);
+            self.grants.insert(id, OpenGrant {
+                link: pick.link,
+                customer: pick.customer,
+                kind: pick.kind,
+                charged: pick.estimate,
+                phase: GrantPhase::Offered { at: now },
+            });
+            self.send(pick.link, PeerMessage::Grant(GrantOffer {
+                grant: id.get(),
+                customer: pick.customer.get(),
+                kind: pick.kind.get(),
+            }));
+        }
+    }
+
+    /// Takes back offers whose lease has run out, and ignores their routers until they are heard.
+    fn void_expired(&mut self, now: ClockTime) {
+        let lease = self.grant_lease();
+        let expired: Vec<GrantId> = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| {
+                matches!(grant.phase, GrantPhase::Offered { at } if now.since(at) > lease)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            let Some(grant) = self.void(id) else {
+                continue;
+            };
+            self.scheduler.drop_link(grant.link, now);
+            if let Some(router) = self.routers.get_mut(&grant.link) {
+                router.is_muted = true;
+            }
+        }
+    }
+
+    fn unmute(&mut self, link: LinkId) {
+        let muted = self.routers.get_mut(&link).filter(|router| router.is_muted);
+        if let Some(router) = muted {
+            router.is_muted = false;
+            self.send(link, PeerMessage::Ping(Ping { resync: true }));
+        }
+    }
+
+    /// Removes a grant that was not used and gives its charge back.
+    pub(super) fn void(&mut self, id: GrantId) -> Option<OpenGrant> {
+        let grant = self.grants.remove(&id)?;
+        self.scheduler.charge(grant.customer, grant.kind, -grant.charged);
+        Some(grant)
+    }
+
+    fn ping_routers(&mut self) {
+        let mut links: Vec<LinkId> = self.grants.values().map(|grant| grant.link).collect();
+        links.sort_unstable();
+        links.dedup();
+        for link in links {
+            self.send(link, PeerMessage::Ping(Ping { resync: false }));
+        }
+    }
+
+    fn change_leaving(&mut self) {
+        self.lease.suspend();
+        if !self.is_leaving() {
+            return;
+        }
+        let links: Vec<LinkId> = self.routers.keys().chain(self.peers.keys()).copied().collect();
+        for link in links {
+            self.send(link, PeerMessage::Leaving(LeavingNotice {}));
+        }
+    }
+
+    pub(super) fn refuse(&mut self, link: LinkId, grant: GrantId, reason: u32) {
+        let grant = grant.get();
+        self.send(link, PeerMessage::Refusal(Refusal { grant, reason }));
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.grants.values().filter(|grant| grant.is_running()).count()
+    }
+
+    pub(super) fn send(&mut self, link: LinkId, message: PeerMessage) {
+        self.actions.push(SidecarAction::Send { link, message });
+    }
+
+    pub(super) fn service_config(&self) -> Option<&ServiceConfig> {
+        self.config.as_ref()?.service(&self.service)
+    }
+
+    pub(super) fn policy(&self) -> SharingPolicy {
+        self.config.as_ref().map_or(SharingPolicy::Fleet, |config| config.limits().policy)
+    }
+
+    pub(super) fn grant_lease(&self) -> Duration {
+        self.config.as_ref().map_or(Duration::ZERO, |config| config.limits().grant_lease)
+    }
+}
