--- a/crates/cicadalock-core/src/config/check.rs
+++ b/crates/cicadalock-core/src/config/check.rs
@@ -34,8 +34,11 @@
     services.sort_by(|left, right| left.name.cmp(&right.name));
     kinds.sort_by_key(|kind| kind.id);
     customers.sort_by_key(|customer| customer.id);
-    let mut tokens: Vec<_> =
-        customers.iter().enumerate().map(|(index, customer)| (customer.token, index)).collect();
+    let mut tokens: Vec<_> = customers
+        .iter()
+        .enumerate()
+        .map(|(index, customer)| (customer.token, index))
+        .collect();
     tokens.sort();
     FleetConfig {
         services,
@@ -54,13 +57,26 @@
     }
     check_repeats(kinds, LISTS[1], "path", findings);
     check_repeats(customers, LISTS[2], "token_sha256", findings);
-    check_collisions(customers, LISTS[2], |name| Some(CustomerId::of(&name.parse().ok()?).get()), findings);
-    check_collisions(kinds, LISTS[1], |name| Some(KindId::of(&name.parse().ok()?).get()), findings);
+    check_collisions(
+        customers,
+        LISTS[2],
+        |name| Some(CustomerId::of(&name.parse().ok()?).get()),
+        findings,
+    );
+    check_collisions(
+        kinds,
+        LISTS[1],
+        |name| Some(KindId::of(&name.parse().ok()?).get()),
+        findings,
+    );
     for kind in kinds {
         let Some(field) = kind.get("service") else {
             continue;
         };
-        if !services.iter().any(|item| item.get("name").map(|name| &name.value) == Some(&field.value)) {
+        if !services
+            .iter()
+            .any(|item| item.get("name").map(|name| &name.value) == Some(&field.value))
+        {
             let key = format!("{}.{}.service", LISTS[1], kind.name().unwrap_or_default());
             findings.push(Finding::new(&field.place, key, "no service has this name"));
         }
@@ -170,7 +186,10 @@
     limits.grant_lease = lease.unwrap_or(limits.grant_lease);
     limits.policy = policy.unwrap_or(limits.policy);
     if limits.body > MAX_BODY {
-        reader.find("body", "must not exceed 8MiB, the greatest frame between processes");
+        reader.find(
+            "body",
+            "must not exceed 8MiB, the greatest frame between processes",
+        );
     }
     reader.finish();
     limits
@@ -237,7 +256,10 @@
         match seen.binary_search_by_key(&id, |(other, _)| *other) {
             Ok(index) if seen[index].1 != name => {
                 let path = format!("{section}.{name}.name");
-                let problem = format!("has the same short id as `{}`; choose another", seen[index].1);
+                let problem = format!(
+                    "has the same short id as `{}`; choose another",
+                    seen[index].1
+                );
                 findings.push(Finding::new(&entry.place, path, problem));
             }
             Ok(_) => {}
--- a/crates/cicadalock-core/src/config/finding.rs
+++ b/crates/cicadalock-core/src/config/finding.rs
@@ -27,6 +27,10 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}:{}: {}: {}", self.file, self.line, self.key, self.problem)
+        write!(
+            formatter,
+            "{}:{}: {}: {}",
+            self.file, self.line, self.key, self.problem
+        )
     }
 }
--- a/crates/cicadalock-core/src/config/fleet_config.rs
+++ b/crates/cicadalock-core/src/config/fleet_config.rs
@@ -86,7 +86,10 @@
     /// The service called `name`.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceConfig> {
-        let index = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
+        let index = self
+            .services
+            .binary_search_by(|service| service.name.cmp(name))
+            .ok()?;
         Some(&self.services[index])
     }
 
@@ -100,7 +103,10 @@
     /// The customer with `id`.
     #[must_use]
     pub fn customer(&self, id: CustomerId) -> Option<&CustomerConfig> {
-        let index = self.customers.binary_search_by_key(&id, |customer| customer.id).ok()?;
+        let index = self
+            .customers
+            .binary_search_by_key(&id, |customer| customer.id)
+            .ok()?;
         Some(&self.customers[index])
     }
 
@@ -108,7 +114,10 @@
     #[must_use]
     pub fn customer_by_token(&self, token: &str) -> Option<&CustomerConfig> {
         let digest = TokenDigest::of(token);
-        let index = self.tokens.binary_search_by_key(&digest, |(token, _)| *token).ok()?;
+        let index = self
+            .tokens
+            .binary_search_by_key(&digest, |(token, _)| *token)
+            .ok()?;
         self.customers.get(self.tokens[index].1)
     }
 
@@ -130,7 +139,11 @@
         for customer in &self.customers {
             builder = builder.customer(customer.id, customer.share);
         }
-        for kind in self.kinds.iter().filter(|kind| kind.service == service.name) {
+        for kind in self
+            .kinds
+            .iter()
+            .filter(|kind| kind.service == service.name)
+        {
             builder = builder.kind(kind.id, kind.weight, kind.estimate);
         }
         builder
@@ -321,7 +334,10 @@
         let mut bytes = [0; 32];
         match hex::decode_to_slice(text, &mut bytes) {
             Ok(()) => Ok(Self(bytes)),
-            Err(_) => ChoiceSnafu { expected: "64 hexadecimal digits" }.fail(),
+            Err(_) => ChoiceSnafu {
+                expected: "64 hexadecimal digits",
+            }
+            .fail(),
         }
     }
 }
@@ -333,7 +349,10 @@
         match text {
             "completions" => Ok(Self::Completions),
             "plain" => Ok(Self::Plain),
-            _ => ChoiceSnafu { expected: "\"completions\" or \"plain\"" }.fail(),
+            _ => ChoiceSnafu {
+                expected: "\"completions\" or \"plain\"",
+            }
+            .fail(),
         }
     }
 }
--- a/crates/cicadalock-core/src/config/merge.rs
+++ b/crates/cicadalock-core/src/config/merge.rs
@@ -18,15 +18,26 @@
     merged
 }
 
-fn merge_entry(list: &mut Vec<RawItem>, entry: RawItem, section: &str, findings: &mut Vec<Finding>) {
-    let target = list.iter_mut().find(|item| item.name().is_some() && item.name() == entry.name());
+fn merge_entry(
+    list: &mut Vec<RawItem>,
+    entry: RawItem,
+    section: &str,
+    findings: &mut Vec<Finding>,
+) {
+    let target = list
+        .iter_mut()
+        .find(|item| item.name().is_some() && item.name() == entry.name());
     let Some(target) = target else {
         list.push(entry);
         return;
     };
     let path = format!("{section}.{}", entry.name().unwrap_or_default());
     if entry.fields.len() == 1 {
-        findings.push(Finding::new(&entry.place, path, "the overlay changes nothing here"));
+        findings.push(Finding::new(
+            &entry.place,
+            path,
+            "the overlay changes nothing here",
+        ));
         return;
     }
     merge_item(target, entry, &path, findings);
@@ -34,7 +45,10 @@
 
 fn merge_item(target: &mut RawItem, changes: RawItem, path: &str, findings: &mut Vec<Finding>) {
     for field in changes.fields {
-        let current = target.fields.iter_mut().find(|existing| existing.key == field.key);
+        let current = target
+            .fields
+            .iter_mut()
+            .find(|existing| existing.key == field.key);
         let Some(current) = current else {
             target.fields.push(field);
             continue;
@@ -43,7 +57,11 @@
             *current = field;
         } else if field.key != "name" {
             let key = format!("{path}.{}", field.key);
-            findings.push(Finding::new(&field.place, key, "has the value of the base already"));
+            findings.push(Finding::new(
+                &field.place,
+                key,
+                "has the value of the base already",
+            ));
         }
     }
 }
--- a/crates/cicadalock-core/src/config/mod.rs
+++ b/crates/cicadalock-core/src/config/mod.rs
@@ -35,8 +35,8 @@
 
 pub use finding::Finding;
 pub use fleet_config::{
-    CustomerConfig, FleetConfig, KindConfig, LimitConfig, ServiceConfig, ServiceProtocol, SharingPolicy,
-    TokenDigest,
+    CustomerConfig, FleetConfig, KindConfig, LimitConfig, ServiceConfig, ServiceProtocol,
+    SharingPolicy, TokenDigest,
 };
 pub use raw::ConfigText;
 pub use release::{ConfigRelease, ReleaseError};
--- a/crates/cicadalock-core/src/config/raw.rs
+++ b/crates/cicadalock-core/src/config/raw.rs
@@ -88,7 +88,11 @@
         let (root, errors) = DeTable::parse_recoverable(&source.text);
         for error in errors {
             let place = reader.place(error.span().map_or(0, |span| span.start));
-            findings.push(Finding::new(&place, "syntax".into(), error.message().replace('\n', " ")));
+            findings.push(Finding::new(
+                &place,
+                "syntax".into(),
+                error.message().replace('\n', " "),
+            ));
         }
         let mut config = Self::default();
         for (key, value) in root.get_ref() {
@@ -124,7 +128,11 @@
             return;
         };
         let Some(entries) = value.get_ref().as_array() else {
-            findings.push(Finding::new(&place, name.into(), "must be a list of tables"));
+            findings.push(Finding::new(
+                &place,
+                name.into(),
+                "must be a list of tables",
+            ));
             return;
         };
         for entry in entries.iter() {
--- a/crates/cicadalock-core/src/config/reader.rs
+++ b/crates/cicadalock-core/src/config/reader.rs
@@ -89,9 +89,10 @@
         match humantime::parse_duration(&text) {
             Ok(span) if !span.is_zero() => Some(span),
             Ok(_) => self.reject(key, "must be longer than zero"),
-            Err(_) => {
-                self.reject(key, format!("`{text}` is not a time with a unit, such as \"30s\""))
-            }
+            Err(_) => self.reject(
+                key,
+                format!("`{text}` is not a time with a unit, such as \"30s\""),
+            ),
         }
     }
 
@@ -105,7 +106,10 @@
         };
         match text.parse::<ByteSize>() {
             Ok(size) if size.as_u64() > 0 => Some(size.as_u64()),
-            _ => self.reject(key, format!("`{text}` is not a size with a unit, such as \"1MiB\"")),
+            _ => self.reject(
+                key,
+                format!("`{text}` is not a size with a unit, such as \"1MiB\""),
+            ),
         }
     }
 
@@ -123,7 +127,10 @@
 
     /// Adds a finding at `key`, or at the table if the key is missing.
     pub(super) fn find(&mut self, key: &str, problem: impl Into<String>) {
-        let place = self.item.get(key).map_or(&self.item.place, |field| &field.place);
+        let place = self
+            .item
+            .get(key)
+            .map_or(&self.item.place, |field| &field.place);
         let path = format!("{}.{key}", self.path);
         self.findings.push(Finding::new(place, path, problem));
     }
@@ -133,7 +140,8 @@
         for field in &self.item.fields {
             if !self.read.contains(&field.key.as_str()) {
                 let path = format!("{}.{}", self.path, field.key);
-                self.findings.push(Finding::new(&field.place, path, "unknown key"));
+                self.findings
+                    .push(Finding::new(&field.place, path, "unknown key"));
             }
         }
     }
--- a/crates/cicadalock-core/src/config/release.rs
+++ b/crates/cicadalock-core/src/config/release.rs
@@ -54,7 +54,9 @@
     /// Fails if the text is not such an object.
     pub fn parse(text: &str) -> Result<Self, ReleaseError> {
         let root: Value = serde_json::from_str(text).context(NotJsonSnafu)?;
-        let base = root["base"].as_str().context(NoTextSnafu { part: "base" })?;
+        let base = root["base"]
+            .as_str()
+            .context(NoTextSnafu { part: "base" })?;
         let mut release = Self::new(ConfigText::new("base", base));
         for (site, overlay) in root["overlays"].as_object().unwrap_or(&Map::new()) {
             let part = format!("overlays.{site}");
--- a/crates/cicadalock-core/src/fair/bids.rs
+++ b/crates/cicadalock-core/src/fair/bids.rs
@@ -53,7 +53,10 @@
         now: ClockTime,
     ) -> Option<LinkId> {
         let routers = self.customers.get_mut(&customer)?.get_mut(&kind)?;
-        let link = routers.iter().min_by_key(|(_, bid)| bid.since).map(|(link, _)| *link)?;
+        let link = routers
+            .iter()
+            .min_by_key(|(_, bid)| bid.since)
+            .map(|(link, _)| *link)?;
         let bid = routers.get_mut(&link)?;
         bid.count -= 1;
         bid.since = now;
@@ -89,7 +92,10 @@
 
     /// Kinds for which `customer` has a bid, in order.
     pub fn kinds(&self, customer: CustomerId) -> impl Iterator<Item = KindId> {
-        self.customers.get(&customer).into_iter().flat_map(|kinds| kinds.keys().copied())
+        self.customers
+            .get(&customer)
+            .into_iter()
+            .flat_map(|kinds| kinds.keys().copied())
     }
 
     /// Tells whether `customer` has a bid.
--- a/crates/cicadalock-core/src/fair/estimates.rs
+++ b/crates/cicadalock-core/src/fair/estimates.rs
@@ -39,7 +39,8 @@
 
     /// Forgets kinds and customers for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(CustomerId, KindId) -> bool) {
-        self.learned.retain(|(customer, kind), _| keep(*customer, *kind));
+        self.learned
+            .retain(|(customer, kind), _| keep(*customer, *kind));
     }
 
     /// Expected cost of the next request, at least one unit.
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -88,17 +88,24 @@
                 .cloned()
                 .unwrap_or_else(|| CustomerAccount::new(*share, floor));
             account.share = *share;
-            account.kinds.retain(|kind, _| builder.kinds.contains_key(kind));
+            account
+                .kinds
+                .retain(|kind, _| builder.kinds.contains_key(kind));
             self.accounts.insert(*customer, account);
         }
         for (kind, (_, estimate)) in builder.kinds.iter() {
             self.estimates.set_prior(*kind, *estimate);
         }
         let (accounts, kinds) = (&self.accounts, &builder.kinds);
-        let is_known = |customer, kind| accounts.contains_key(&customer) && kinds.contains_key(&kind);
+        let is_known =
+            |customer, kind| accounts.contains_key(&customer) && kinds.contains_key(&kind);
         self.estimates.retain(is_known);
         self.bids.retain(is_known);
-        self.kinds = builder.kinds.iter().map(|(kind, (weight, _))| (*kind, *weight)).collect();
+        self.kinds = builder
+            .kinds
+            .iter()
+            .map(|(kind, (weight, _))| (*kind, *weight))
+            .collect();
         self.debt_cap = builder.debt_cap;
         self.presumes_peers = builder.presumes_peers;
         self.recount_peers();
@@ -211,7 +218,10 @@
 
     /// Adds a peer's report. Old and repeated reports are ignored; returns whether it was new.
     pub fn merge(&mut self, report: &PeerReport, now: ClockTime) -> bool {
-        let known = self.peers.get(&report.host).map(|peer| (peer.incarnation, peer.sequence));
+        let known = self
+            .peers
+            .get(&report.host)
+            .map(|peer| (peer.incarnation, peer.sequence));
         if known.is_some_and(|seen| seen >= (report.incarnation, report.sequence)) {
             return false;
         }
@@ -219,8 +229,10 @@
         let is_older = report.incarnation < self.incarnation;
         if is_first {
             self.forget_peer(&report.host);
-            self.peers
-                .insert(report.host.clone(), PeerTotals::new(report.incarnation, now));
+            self.peers.insert(
+                report.host.clone(),
+                PeerTotals::new(report.incarnation, now),
+            );
         }
         let adopts = is_first && is_older && !self.is_adopted;
         for entry in &report.entries {
@@ -252,7 +264,9 @@
 
     /// Cost charged by this sidecar since its start, by customer.
     pub fn own_totals(&self) -> impl Iterator<Item = (CustomerId, i64)> {
-        self.accounts.iter().map(|(customer, account)| (*customer, account.own_total))
+        self.accounts
+            .iter()
+            .map(|(customer, account)| (*customer, account.own_total))
     }
 
     /// Position of a customer, with what peers are presumed to have served since their reports.
@@ -285,7 +299,9 @@
     fn is_active(&self, customer: CustomerId, account: &CustomerAccount, now: ClockTime) -> bool {
         account.peer_backlogs > 0
             || self.bids.has(customer)
-            || account.last_bid.is_some_and(|last| now.since(last) <= IDLE_GRACE)
+            || account
+                .last_bid
+                .is_some_and(|last| now.since(last) <= IDLE_GRACE)
     }
 
     /// Least position of the active customers.
@@ -321,7 +337,9 @@
         };
         let is_active = |id: KindId, kind: &KindAccount| {
             waiting.binary_search(&id).is_ok()
-                || kind.last_bid.is_some_and(|last| now.since(last) <= IDLE_GRACE)
+                || kind
+                    .last_bid
+                    .is_some_and(|last| now.since(last) <= IDLE_GRACE)
         };
         let floor = account
             .kinds
@@ -341,7 +359,10 @@
     fn touch(&mut self, customer: CustomerId, kind: KindId, now: ClockTime) {
         if let Some(account) = self.accounts.get_mut(&customer) {
             account.last_bid = Some(now);
-            account.kinds.get_or_insert_with(kind, KindAccount::default).last_bid = Some(now);
+            account
+                .kinds
+                .get_or_insert_with(kind, KindAccount::default)
+                .last_bid = Some(now);
         }
     }
 
@@ -353,7 +374,9 @@
         let limit = floor + self.debt_cap;
         let waiting: Vec<CustomerId> = self.bids.customers().collect();
         for customer in waiting {
-            let excess = self.position(customer).map_or(0.0, |position| position - limit);
+            let excess = self
+                .position(customer)
+                .map_or(0.0, |position| position - limit);
             if excess > 0.0
                 && let Some(account) = self.accounts.get_mut(&customer)
             {
@@ -385,14 +408,22 @@
             .min_by(f64::total_cmp)
     }
 
-    fn merge_entry(&mut self, host: &HostName, entry: &TotalEntry, is_baseline: bool, adopts: bool) {
+    fn merge_entry(
+        &mut self,
+        host: &HostName,
+        entry: &TotalEntry,
+        is_baseline: bool,
+        adopts: bool,
+    ) {
         let Some(account) = self.accounts.get_mut(&entry.customer) else {
             return;
         };
         let Some(peer) = self.peers.get_mut(host) else {
             return;
         };
-        let line = peer.lines.get_or_insert_with(entry.customer, PeerLine::default);
+        let line = peer
+            .lines
+            .get_or_insert_with(entry.customer, PeerLine::default);
         if adopts {
             account.position += entry.lead;
         }
@@ -487,7 +518,8 @@
     /// Adds a kind with its weight inside a customer's share and its expected cost.
     #[must_use]
     pub fn kind(mut self, kind: KindId, weight: u32, estimate: u32) -> Self {
-        self.kinds.insert(kind, (f64::from(weight.max(1)), f64::from(estimate)));
+        self.kinds
+            .insert(kind, (f64::from(weight.max(1)), f64::from(estimate)));
         self
     }
 
--- a/crates/cicadalock-core/src/id/mod.rs
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -12,4 +12,6 @@
 mod number;
 
 pub use name::{CustomerName, HostName, KindName, NameError, ServiceName, ZoneName};
-pub use number::{CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision};
+pub use number::{
+    CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision,
+};
--- a/crates/cicadalock-core/src/member/home.rs
+++ b/crates/cicadalock-core/src/member/home.rs
@@ -16,5 +16,7 @@
 /// Hash of a sorted set of hosts.
 #[must_use]
 pub fn set_hash(homes: &[HostName]) -> u64 {
-    homes.iter().fold(0, |hash, host| xxh3_64_with_seed(host.as_str().as_bytes(), hash))
+    homes.iter().fold(0, |hash, host| {
+        xxh3_64_with_seed(host.as_str().as_bytes(), hash)
+    })
 }
--- a/crates/cicadalock-core/src/member/host_list.rs
+++ b/crates/cicadalock-core/src/member/host_list.rs
@@ -136,7 +136,10 @@
     /// The host called `name`.
     #[must_use]
     pub fn get(&self, name: &HostName) -> Option<&HostEntry> {
-        let index = self.hosts.binary_search_by(|host| host.name.cmp(name)).ok()?;
+        let index = self
+            .hosts
+            .binary_search_by(|host| host.name.cmp(name))
+            .ok()?;
         Some(&self.hosts[index])
     }
 
@@ -159,7 +162,9 @@
 
 fn parse_host(index: usize, entry: &Value) -> Result<HostEntry, HostListError> {
     let text = |field: &'static str| {
-        entry[field].as_str().context(MissingFieldSnafu { index, field })
+        entry[field]
+            .as_str()
+            .context(MissingFieldSnafu { index, field })
     };
     let name = text("name")?.parse().context(BadNameSnafu { index })?;
     let zone = text("zone")?.parse().context(BadNameSnafu { index })?;
--- a/crates/cicadalock-core/src/member/view_lease.rs
+++ b/crates/cicadalock-core/src/member/view_lease.rs
@@ -88,7 +88,9 @@
             self.epoch = Revision::new(word.epoch);
         }
         let confirms = is_same_set && word.epoch == self.epoch.get();
-        let entry = self.peers.get_or_insert_with(peer.clone(), PeerWord::default);
+        let entry = self
+            .peers
+            .get_or_insert_with(peer.clone(), PeerWord::default);
         entry.stamp = word.stamp;
         entry.departed = false;
         let echoed = ClockTime::from_micros(word.echo);
@@ -101,7 +103,9 @@
 
     /// Notes that a peer has said that it runs no more keys.
     pub fn depart(&mut self, peer: &HostName) {
-        self.peers.get_or_insert_with(peer.clone(), PeerWord::default).departed = true;
+        self.peers
+            .get_or_insert_with(peer.clone(), PeerWord::default)
+            .departed = true;
     }
 
     /// Gives up every confirmation, so that the view must be confirmed anew.
@@ -188,14 +192,23 @@
     fn restart(&mut self, epoch: Revision, past: Option<Vec<HostName>>) {
         self.epoch = self.epoch.max(epoch);
         match past {
-            Some(homes) => self.history.push(PastView { homes, replaced: None }),
+            Some(homes) => self.history.push(PastView {
+                homes,
+                replaced: None,
+            }),
             None => {
                 self.history.clear();
-                self.history.push(PastView { homes: Vec::new(), replaced: None });
+                self.history.push(PastView {
+                    homes: Vec::new(),
+                    replaced: None,
+                });
             }
         }
         if self.history.len() > HISTORY_LIMIT {
-            self.history[1] = PastView { homes: Vec::new(), replaced: None };
+            self.history[1] = PastView {
+                homes: Vec::new(),
+                replaced: None,
+            };
             self.history.remove(0);
         }
         self.established = None;
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -19,8 +19,8 @@
 mod work;
 
 pub use control::{
-    BidLine, BidUpdate, DocumentMessage, FetchDocument, Hello, LeavingNotice, Ping, Proof, TotalLine,
-    TotalsReport, ViewWord,
+    BidLine, BidUpdate, DocumentMessage, FetchDocument, Hello, LeavingNotice, Ping, Proof,
+    TotalLine, TotalsReport, ViewWord,
 };
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
--- a/crates/cicadalock-core/src/outcome/key.rs
+++ b/crates/cicadalock-core/src/outcome/key.rs
@@ -56,7 +56,9 @@
             return WrongVersionSnafu { version }.fail();
         }
         let bytes = uuid.as_bytes();
-        let millis = bytes[..6].iter().fold(0, |sum, byte| (sum << 8) | u64::from(*byte));
+        let millis = bytes[..6]
+            .iter()
+            .fold(0, |sum, byte| (sum << 8) | u64::from(*byte));
         Ok(Self {
             text: Arc::from(uuid.to_string()),
             minted: WallTime::from_unix_millis(millis),
--- a/crates/cicadalock-core/src/outcome/ledger.rs
+++ b/crates/cicadalock-core/src/outcome/ledger.rs
@@ -117,7 +117,8 @@
             return LedgerVerdict::Full;
         }
         let state = EntryState::Running;
-        self.entries.insert(entry_key.clone(), LedgerEntry { body, state });
+        self.entries
+            .insert(entry_key.clone(), LedgerEntry { body, state });
         self.order.push_back((now, entry_key));
         LedgerVerdict::Run
     }
@@ -130,7 +131,9 @@
         key: &IdempotencyKey,
         body: BodyDigest,
     ) -> Option<LedgerVerdict> {
-        self.entries.get(&(customer, key.clone())).map(|entry| entry.verdict(body))
+        self.entries
+            .get(&(customer, key.clone()))
+            .map(|entry| entry.verdict(body))
     }
 
     /// Takes a claim back: the request was certainly not run.
@@ -170,7 +173,9 @@
         if (window, skew) == (self.settings.window, self.settings.skew) {
             return;
         }
-        let forgotten = now.plus_millis(millis(self.settings.skew)).minus_millis(millis(self.settings.window));
+        let forgotten = now
+            .plus_millis(millis(self.settings.skew))
+            .minus_millis(millis(self.settings.window));
         self.settings.start = self.settings.start.max(forgotten);
         self.settings.window = window;
         self.settings.skew = skew;
--- a/crates/cicadalock-core/src/retry/backoff.rs
+++ b/crates/cicadalock-core/src/retry/backoff.rs
@@ -63,8 +63,13 @@
     /// Notes a failure of the endpoint.
     pub fn fail(&mut self, now: ClockTime) {
         self.failures = self.failures.saturating_add(1);
-        let doublings = self.failures.saturating_sub(FAILURE_LIMIT).min(DOUBLING_LIMIT);
-        let pause = FIRST_PAUSE.saturating_mul(1 << doublings).min(LONGEST_PAUSE);
+        let doublings = self
+            .failures
+            .saturating_sub(FAILURE_LIMIT)
+            .min(DOUBLING_LIMIT);
+        let pause = FIRST_PAUSE
+            .saturating_mul(1 << doublings)
+            .min(LONGEST_PAUSE);
         self.blocked_until = now + pause;
     }
 }
--- a/crates/cicadalock-core/src/revision/store.rs
+++ b/crates/cicadalock-core/src/revision/store.rs
@@ -33,6 +33,7 @@
     /// Number of the newest document of `kind`; zero before the first.
     #[must_use]
     pub fn revision(&self, kind: DocumentKind) -> Revision {
-        self.get(kind).map_or(Revision::default(), |document| document.revision)
+        self.get(kind)
+            .map_or(Revision::default(), |document| document.revision)
     }
 }
--- a/crates/cicadalock-core/src/router/action.rs
+++ b/crates/cicadalock-core/src/router/action.rs
@@ -1,5 +1,5 @@
 use super::CallerFailure;
-use crate::id::{LinkId, RequestId};
+use crate::id::{HostName, LinkId, RequestId};
 use crate::message::{HeaderField, PeerMessage};
 
 /// What the surroundings of a router machine are to do.
@@ -26,6 +26,8 @@
 /// What a caller is told; `Complete`, `Break` and `Fail` are the last event of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerEvent {
+    /// The request was handed to the sidecar on a host.
+    HandedOver(HostName),
     /// Status and header fields of the answer.
     Head {
         /// HTTP status.
--- a/crates/cicadalock-core/src/router/bid_planner.rs
+++ b/crates/cicadalock-core/src/router/bid_planner.rs
@@ -43,7 +43,11 @@
     /// Queues that are told to few sidecars and have waited long enough to be told to all.
     pub(super) fn overdue(&self, now: ClockTime) -> Vec<QueueKey> {
         let is_due = |time: &QueueTime| !time.is_wide && now.since(time.since) >= WIDEN_DELAY;
-        self.since.iter().filter(|(_, time)| is_due(time)).map(|(key, _)| *key).collect()
+        self.since
+            .iter()
+            .filter(|(_, time)| is_due(time))
+            .map(|(key, _)| *key)
+            .collect()
     }
 
     /// When the next queue is overdue.
--- a/crates/cicadalock-core/src/router/hold_queue.rs
+++ b/crates/cicadalock-core/src/router/hold_queue.rs
@@ -15,13 +15,17 @@
 
 impl HoldQueue {
     pub(super) fn push(&mut self, key: QueueKey, request: RequestId) {
-        self.queues.get_or_insert_with(key, VecDeque::new).push_back(request);
+        self.queues
+            .get_or_insert_with(key, VecDeque::new)
+            .push_back(request);
         self.total += 1;
     }
 
     /// Puts a request back to the front.
     pub(super) fn push_front(&mut self, key: QueueKey, request: RequestId) {
-        self.queues.get_or_insert_with(key, VecDeque::new).push_front(request);
+        self.queues
+            .get_or_insert_with(key, VecDeque::new)
+            .push_front(request);
         self.total += 1;
     }
 
--- a/crates/cicadalock-core/src/router/keyed.rs
+++ b/crates/cicadalock-core/src/router/keyed.rs
@@ -60,9 +60,7 @@
     /// Takes in the word of a key's home.
     pub(super) fn claim_reply(&mut self, link: LinkId, reply: ClaimReply, now: ClockTime) {
         let id = RequestId::new(reply.request);
-        let waits = |request: &HeldRequest| {
-            matches!(request.phase, RequestPhase::Claiming { link: asked, .. } if asked == link)
-        };
+        let waits = |request: &HeldRequest| matches!(request.phase, RequestPhase::Claiming { link: asked, .. } if asked == link);
         let is_held = reply.verdict == claim_verdict::HELD;
         let Some(request) = self.requests.get_mut(&id).filter(|request| waits(request)) else {
             if is_held && !self.is_claimed_by(id, link) {
--- a/crates/cicadalock-core/src/router/machine.rs
+++ b/crates/cicadalock-core/src/router/machine.rs
@@ -15,7 +15,7 @@
 use crate::id::{CustomerId, GrantId, HostName, KindId, LinkId, RequestId, ServiceName};
 use crate::member::{HostList, HostState};
 use crate::message::{
-    BidLine, BidUpdate, Decline, GrantOffer, PeerMessage, Ping, ReleaseClaim,
+    BidLine, BidUpdate, Decline, GrantOffer, PeerMessage, Ping, ReadCredit, ReleaseClaim,
 };
 use crate::retry::RetryBudget;
 use crate::time::ClockTime;
@@ -121,9 +121,9 @@
             return;
         }
         self.body_bytes += call.body.len() as u64;
-        let budget = self.budgets.get_or_insert_with(call.service.clone(), || {
-            RetryBudget::builder().build()
-        });
+        let budget = self
+            .budgets
+            .get_or_insert_with(call.service.clone(), || RetryBudget::builder().build());
         budget.deposit();
         let phase = match call.key {
             Some(_) => RequestPhase::Unclaimed { ask_at: now },
@@ -160,6 +160,17 @@
         }
     }
 
+    /// Notes that a caller has taken part of its answer, in window units.
+    pub fn credit(&mut self, id: RequestId, units: u32) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let RequestPhase::HandedOver { link, grant, .. } = request.phase {
+            let grant = grant.get();
+            self.send(link, PeerMessage::Credit(ReadCredit { grant, units }));
+        }
+    }
+
     /// Takes in a connection to the sidecar on `host`.
     pub fn link_up(
         &mut self,
@@ -169,7 +180,8 @@
         leaving: bool,
         now: ClockTime,
     ) {
-        self.links.insert(link, SidecarLink::new(host, service, leaving, now));
+        self.links
+            .insert(link, SidecarLink::new(host, service, leaving, now));
         self.mark_all();
         self.ask_all(now);
     }
@@ -241,13 +253,14 @@
 
     /// Waiting requests by customer and kind.
     pub fn queues(&self) -> impl Iterator<Item = QueueReport> {
-        self.queue.lengths().chain(self.parked.lengths()).map(|((customer, kind), count)| {
-            QueueReport {
+        self.queue
+            .lengths()
+            .chain(self.parked.lengths())
+            .map(|((customer, kind), count)| QueueReport {
                 customer,
                 kind,
                 count,
-            }
-        })
+            })
     }
 
     /// Connections to sidecars.
@@ -283,7 +296,10 @@
     /// Returns false if that is `customer` itself.
     fn shed_for(&mut self, customer: CustomerId, config: &FleetConfig) -> bool {
         let load = |id: CustomerId, count: usize| {
-            count as f64 / config.customer(id).map_or(1.0, |customer| f64::from(customer.share))
+            count as f64
+                / config
+                    .customer(id)
+                    .map_or(1.0, |customer| f64::from(customer.share))
         };
         let mut counts: SortedMap<CustomerId, usize> = SortedMap::new();
         for ((id, _), count) in self.queue.lengths() {
@@ -318,7 +334,13 @@
         });
         let Some(id) = next else {
             let left = self.count_for(link, key);
-            self.send(link, PeerMessage::Decline(Decline { grant: offer.grant, left }));
+            self.send(
+                link,
+                PeerMessage::Decline(Decline {
+                    grant: offer.grant,
+                    left,
+                }),
+            );
             self.believe(link, key, left);
             return;
         };
@@ -342,13 +364,19 @@
         };
         let message = request.hand_over(grant, id.get(), left, now);
         let cancelled = None;
-        request.phase = RequestPhase::HandedOver { link, grant, cancelled };
+        request.phase = RequestPhase::HandedOver {
+            link,
+            grant,
+            cancelled,
+        };
         self.grants.insert((link, grant), id);
         if let Some(sidecar) = self.links.get_mut(&link) {
             if sidecar.outstanding == 0 {
                 sidecar.last_heard = now;
             }
             sidecar.outstanding += 1;
+            let event = CallerEvent::HandedOver(sidecar.host.clone());
+            self.answer(id, event);
         }
         self.send(link, PeerMessage::HandOver(message));
     }
@@ -362,7 +390,9 @@
     /// Requests of a queue that `link` may run.
     fn count_for(&self, link: LinkId, key: QueueKey) -> u32 {
         let eligible = self.queue.requests(key).filter(|id| {
-            self.requests.get(id).is_some_and(|request| request.is_for(link))
+            self.requests
+                .get(id)
+                .is_some_and(|request| request.is_for(link))
         });
         u32::try_from(eligible.count()).unwrap_or(u32::MAX)
     }
@@ -380,7 +410,9 @@
             self.plan_queue(key, now, &mut updates);
         }
         for (link, lines) in updates.iter() {
-            let message = PeerMessage::Bid(BidUpdate { lines: lines.clone() });
+            let message = PeerMessage::Bid(BidUpdate {
+                lines: lines.clone(),
+            });
             self.send(*link, message);
         }
     }
@@ -410,7 +442,11 @@
             .collect();
         for link in told {
             let is_candidate = candidates.binary_search(&link).is_ok();
-            let count = if is_candidate { self.count_for(link, key) } else { 0 };
+            let count = if is_candidate {
+                self.count_for(link, key)
+            } else {
+                0
+            };
             let Some(sidecar) = self.links.get_mut(&link) else {
                 continue;
             };
@@ -427,16 +463,17 @@
 
     /// Links that are to hear of a queue, sorted.
     fn choose(&mut self, candidates: &[LinkId], is_wide: bool, key: QueueKey) -> Vec<LinkId> {
-        let claimed = self.queue.requests(key).filter_map(|id| {
-            self.requests.get(&id).and_then(HeldRequest::link)
-        });
+        let claimed = self
+            .queue
+            .requests(key)
+            .filter_map(|id| self.requests.get(&id).and_then(HeldRequest::link));
         let mut chosen: Vec<LinkId> = claimed.collect();
         if is_wide || candidates.len() <= NARROW_LINKS {
             chosen.extend(candidates);
         } else {
-            let known = candidates.iter().filter(|id| {
-                self.links.get(id).is_some_and(|link| link.told(key) > 0)
-            });
+            let known = candidates
+                .iter()
+                .filter(|id| self.links.get(id).is_some_and(|link| link.told(key) > 0));
             let known = known.count();
             self.turn += 1;
             let start = xxh3_64_with_seed(&self.turn.to_le_bytes(), self.seed) as usize;
@@ -467,7 +504,10 @@
         let mut late = Vec::new();
         for (id, request) in self.requests.iter() {
             let deadline = match request.phase {
-                RequestPhase::HandedOver { cancelled: Some(at), .. } => at + CANCEL_GRACE,
+                RequestPhase::HandedOver {
+                    cancelled: Some(at),
+                    ..
+                } => at + CANCEL_GRACE,
                 RequestPhase::HandedOver { .. } => request.deadline(),
                 _ => request.queue_deadline(),
             };
@@ -485,7 +525,9 @@
             return;
         };
         match request.phase {
-            RequestPhase::HandedOver { cancelled: None, .. } => self.cancel(id, now),
+            RequestPhase::HandedOver {
+                cancelled: None, ..
+            } => self.cancel(id, now),
             RequestPhase::HandedOver { .. } => self.end_unknown(id, CallerFailure::timed_out()),
             RequestPhase::Unclaimed { .. } | RequestPhase::Claiming { .. } => {
                 self.fail_held(id, CallerFailure::home_silent());
@@ -500,9 +542,7 @@
         let silent: Vec<LinkId> = self
             .links
             .iter()
-            .filter(|(_, link)| {
-                link.outstanding > 0 && now.since(link.last_heard) > SILENCE_LIMIT
-            })
+            .filter(|(_, link)| link.outstanding > 0 && now.since(link.last_heard) > SILENCE_LIMIT)
             .map(|(id, _)| *id)
             .collect();
         for link in silent {
@@ -519,8 +559,15 @@
 
     /// Tells a caller why there is no answer; an earlier attempt makes the outcome unknown.
     pub(super) fn fail(&mut self, id: RequestId, failure: CallerFailure) {
-        let may_have_run = self.requests.get(&id).is_some_and(|request| request.may_have_run);
-        let failure = if may_have_run { CallerFailure::timed_out() } else { failure };
+        let may_have_run = self
+            .requests
+            .get(&id)
+            .is_some_and(|request| request.may_have_run);
+        let failure = if may_have_run {
+            CallerFailure::timed_out()
+        } else {
+            failure
+        };
         self.finish(id, CallerEvent::Fail(failure));
     }
 
@@ -534,7 +581,8 @@
             return;
         };
         let key = queue_key(request);
-        if let RequestPhase::Claimed { link } | RequestPhase::Claiming { link, .. } = request.phase {
+        if let RequestPhase::Claimed { link } | RequestPhase::Claiming { link, .. } = request.phase
+        {
             let request = id.get();
             self.send(link, PeerMessage::Release(ReleaseClaim { request }));
         }
@@ -581,7 +629,9 @@
     }
 
     pub(super) fn policy(&self) -> SharingPolicy {
-        self.config.as_ref().map_or(SharingPolicy::Fleet, |config| config.limits().policy)
+        self.config
+            .as_ref()
+            .map_or(SharingPolicy::Fleet, |config| config.limits().policy)
     }
 }
 
--- a/crates/cicadalock-core/src/router/push.rs
+++ b/crates/cicadalock-core/src/router/push.rs
@@ -2,9 +2,9 @@
 
 use super::hold_queue::QueueKey;
 use super::machine::RouterMachine;
+use crate::collect::SortedMap;
 use crate::config::{FleetConfig, SharingPolicy};
 use crate::fair::{GrantScheduler, SchedulerPick};
-use crate::collect::SortedMap;
 use crate::id::{GrantId, LinkId, RequestId, ServiceName};
 use crate::member::HostRole;
 use crate::time::ClockTime;
@@ -58,7 +58,10 @@
         let mut waiting: Vec<(ClockTime, RequestId, QueueKey)> = Vec::new();
         for (key, _) in self.queue.lengths() {
             for id in self.queue.requests(key) {
-                let arrived = self.requests.get(&id).map_or(now, |request| request.arrived);
+                let arrived = self
+                    .requests
+                    .get(&id)
+                    .map_or(now, |request| request.arrived);
                 waiting.push((arrived, id, key));
             }
         }
@@ -93,7 +96,11 @@
             return;
         };
         for customer in config.customers() {
-            for kind in config.kinds().iter().filter(|kind| kind.service == *service) {
+            for kind in config
+                .kinds()
+                .iter()
+                .filter(|kind| kind.service == *service)
+            {
                 let key = (customer.id, kind.id);
                 let index = lengths.binary_search_by_key(&key, |(key, _)| *key);
                 let count = index.map_or(0, |index| lengths[index].1 as u32);
@@ -105,15 +112,23 @@
     /// Tells whether this router has less at the sidecars of a service than its part.
     fn has_push_window(&self, service: &ServiceName, slots: u32) -> bool {
         let links = self.links.values().filter(|link| link.service == *service);
-        let (count, outstanding) =
-            links.fold((0, 0), |(count, sum), link| (count + 1, sum + link.outstanding));
-        let routers = self.hosts.hosts().iter().filter(|host| host.role == HostRole::Router);
+        let (count, outstanding) = links.fold((0, 0), |(count, sum), link| {
+            (count + 1, sum + link.outstanding)
+        });
+        let routers = self
+            .hosts
+            .hosts()
+            .iter()
+            .filter(|host| host.role == HostRole::Router);
         let routers = (routers.count() as u32).max(1);
         outstanding < (WINDOW_FACTOR * slots * count / routers).max(1)
     }
 
     fn push_one(&mut self, id: RequestId, key: QueueKey, now: ClockTime) -> bool {
-        let Some(service) = self.requests.get(&id).map(|request| request.call.service.clone())
+        let Some(service) = self
+            .requests
+            .get(&id)
+            .map(|request| request.call.service.clone())
         else {
             return false;
         };
@@ -121,7 +136,11 @@
             .links
             .iter()
             .filter(|(_, link)| link.service == service && self.is_eligible(link))
-            .filter(|(link, _)| self.requests.get(&id).is_some_and(|held| held.is_for(**link)))
+            .filter(|(link, _)| {
+                self.requests
+                    .get(&id)
+                    .is_some_and(|held| held.is_for(**link))
+            })
             .min_by_key(|(_, link)| link.outstanding)
             .map(|(link, _)| *link);
         let Some(link) = target else {
--- a/crates/cicadalock-core/src/router/request.rs
+++ b/crates/cicadalock-core/src/router/request.rs
@@ -131,7 +131,11 @@
     /// Waits for the key's home, which holds the claim.
     Claimed { link: LinkId },
     /// A sidecar has it.
-    HandedOver { link: LinkId, grant: GrantId, cancelled: Option<ClockTime> },
+    HandedOver {
+        link: LinkId,
+        grant: GrantId,
+        cancelled: Option<ClockTime>,
+    },
 }
 
 impl HeldRequest {
@@ -172,7 +176,12 @@
             headers: self.call.headers.clone(),
             body: self.call.body.clone(),
             remaining_ms: self.deadline().since(now).as_millis() as u64,
-            key: self.call.key.as_ref().map(ToString::to_string).unwrap_or_default(),
+            key: self
+                .call
+                .key
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
             customer: self.call.customer.get(),
             kind: self.call.kind.get(),
         }
--- a/crates/cicadalock-core/src/router/settle.rs
+++ b/crates/cicadalock-core/src/router/settle.rs
@@ -52,7 +52,12 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let RequestPhase::HandedOver { link, grant, cancelled } = &mut request.phase else {
+        let RequestPhase::HandedOver {
+            link,
+            grant,
+            cancelled,
+        } = &mut request.phase
+        else {
             return;
         };
         cancelled.get_or_insert(now);
@@ -68,8 +73,13 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let was_cancelled =
-            matches!(request.phase, RequestPhase::HandedOver { cancelled: Some(_), .. });
+        let was_cancelled = matches!(
+            request.phase,
+            RequestPhase::HandedOver {
+                cancelled: Some(_),
+                ..
+            }
+        );
         let is_over = was_cancelled || request.is_gone || now >= request.queue_deadline();
         if is_over || refusal.reason == refusal_reason::OUT_OF_TIME {
             self.fail(id, CallerFailure::no_capacity());
@@ -84,7 +94,10 @@
         let Some(id) = self.request_of(link, head.grant) else {
             return;
         };
-        let Some(request) = self.requests.get_mut(&id).filter(|request| request.answered.is_none())
+        let Some(request) = self
+            .requests
+            .get_mut(&id)
+            .filter(|request| request.answered.is_none())
         else {
             return;
         };
@@ -134,8 +147,13 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let was_cancelled =
-            matches!(request.phase, RequestPhase::HandedOver { cancelled: Some(_), .. });
+        let was_cancelled = matches!(
+            request.phase,
+            RequestPhase::HandedOver {
+                cancelled: Some(_),
+                ..
+            }
+        );
         let may_retry = request.call.idempotent
             && request.answered.is_none()
             && !request.is_gone
@@ -169,7 +187,9 @@
     }
 
     fn spend_retry(&mut self, service: &ServiceName) -> bool {
-        self.budgets.get_mut(service).is_some_and(RetryBudget::try_spend)
+        self.budgets
+            .get_mut(service)
+            .is_some_and(RetryBudget::try_spend)
     }
 
     fn note_may_have_run(&mut self, id: RequestId) {
--- a/crates/cicadalock-core/src/sidecar/action.rs
+++ b/crates/cicadalock-core/src/sidecar/action.rs
@@ -13,6 +13,8 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Close a connection.
+    Close(LinkId),
     /// Call the endpoint.
     Start(Box<RunOrder>),
     /// End a call whose answer nobody wants.
@@ -39,6 +41,8 @@
     pub kind: KindId,
     /// The request.
     pub request: HandOver,
+    /// When the request came.
+    pub received: ClockTime,
     /// The call must not begin later than this.
     pub start_by: ClockTime,
     /// When the answer is no longer of use.
--- a/crates/cicadalock-core/src/sidecar/builder.rs
+++ b/crates/cicadalock-core/src/sidecar/builder.rs
@@ -42,7 +42,9 @@
     /// Builds the machine, which grants nothing before it has a configuration.
     #[must_use]
     pub fn build(self) -> SidecarMachine {
-        let scheduler = GrantScheduler::builder().incarnation(self.incarnation).build();
+        let scheduler = GrantScheduler::builder()
+            .incarnation(self.incarnation)
+            .build();
         let ledger = OutcomeLedger::builder(self.started).build();
         let lease = ViewLease::new(self.host.clone());
         SidecarMachine::assemble(self, scheduler, ledger, lease, EndpointBackoff::new())
--- a/crates/cicadalock-core/src/sidecar/exchange.rs
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -61,7 +61,11 @@
             .map(|(link, peer)| (*link, peer.needs_full_report))
             .collect();
         for (link, needs_full) in links {
-            let report = if needs_full { self.scheduler.full_report(&host) } else { changes.clone() };
+            let report = if needs_full {
+                self.scheduler.full_report(&host)
+            } else {
+                changes.clone()
+            };
             if let Some(peer) = self.peers.get_mut(&link) {
                 peer.needs_full_report = false;
             }
--- a/crates/cicadalock-core/src/sidecar/grant.rs
+++ b/crates/cicadalock-core/src/sidecar/grant.rs
@@ -20,9 +20,17 @@
     /// Offered to a router.
     Offered { at: ClockTime },
     /// The request is here and waits for a free slot.
-    Staged { request: Box<HandOver>, deadline: ClockTime },
+    Staged {
+        request: Box<HandOver>,
+        received: ClockTime,
+        deadline: ClockTime,
+    },
     /// The endpoint has the request.
-    Running { since: ClockTime, key: Option<IdempotencyKey>, is_abortable: bool },
+    Running {
+        since: ClockTime,
+        key: Option<IdempotencyKey>,
+        is_abortable: bool,
+    },
 }
 
 impl OpenGrant {
--- a/crates/cicadalock-core/src/sidecar/keyed.rs
+++ b/crates/cicadalock-core/src/sidecar/keyed.rs
@@ -16,14 +16,19 @@
     /// Decides whether a keyed request may run here.
     pub(super) fn claim(&mut self, link: LinkId, ask: &ClaimKey, now: ClockTime, wall: WallTime) {
         let request = RequestId::new(ask.request);
-        let (Ok(key), Some(body)) =
-            (ask.key.parse::<IdempotencyKey>(), BodyDigest::from_bytes(&ask.digest))
-        else {
+        let (Ok(key), Some(body)) = (
+            ask.key.parse::<IdempotencyKey>(),
+            BodyDigest::from_bytes(&ask.digest),
+        ) else {
             self.reply(link, request, claim_verdict::UNKNOWN);
             return;
         };
         let customer = CustomerId::new(ask.customer);
-        let claimed = ClaimedKey { customer, key, body };
+        let claimed = ClaimedKey {
+            customer,
+            key,
+            body,
+        };
         if self.holds(link, request, &claimed) {
             self.reply(link, request, claim_verdict::HELD);
             return;
@@ -48,10 +53,14 @@
         wall: WallTime,
     ) -> Option<ClockTime> {
         let claimed = self.claims.get(&(link, request))?.clone();
-        let is_fresh = self.settled_since(&claimed.key, now, wall).is_some_and(|after| {
-            self.ledger.is_fresh(&claimed.key, after, wall)
-        });
-        if is_fresh { self.lease.held_until() } else { None }
+        let is_fresh = self
+            .settled_since(&claimed.key, now, wall)
+            .is_some_and(|after| self.ledger.is_fresh(&claimed.key, after, wall));
+        if is_fresh {
+            self.lease.held_until()
+        } else {
+            None
+        }
     }
 
     /// The request of a claim has begun; the ledger keeps its key.
@@ -81,33 +90,52 @@
 
     fn holds(&self, link: LinkId, request: RequestId, asked: &ClaimedKey) -> bool {
         self.claims.get(&(link, request)).is_some_and(|claimed| {
-            claimed.key == asked.key && claimed.customer == asked.customer && claimed.body == asked.body
+            claimed.key == asked.key
+                && claimed.customer == asked.customer
+                && claimed.body == asked.body
         })
     }
 
-    fn decide(&mut self, asked: &ClaimedKey, now: ClockTime, wall: WallTime) -> Option<LedgerVerdict> {
+    fn decide(
+        &mut self,
+        asked: &ClaimedKey,
+        now: ClockTime,
+        wall: WallTime,
+    ) -> Option<LedgerVerdict> {
         let remembered = self.ledger.recall(asked.customer, &asked.key, asked.body);
         if remembered.is_some() {
             return remembered;
         }
         let fresh_after = self.settled_since(&asked.key, now, wall)?;
-        Some(self.ledger.claim(asked.customer, &asked.key, asked.body, fresh_after, wall))
+        Some(
+            self.ledger
+                .claim(asked.customer, &asked.key, asked.body, fresh_after, wall),
+        )
     }
 
     /// The time after which a key must have been minted, if this sidecar is surely its home.
-    fn settled_since(&mut self, key: &IdempotencyKey, now: ClockTime, wall: WallTime) -> Option<WallTime> {
-        if self.is_leaving() || !self.lease.is_held(now, wall) || !self.lease.is_home(key.as_str()) {
+    fn settled_since(
+        &mut self,
+        key: &IdempotencyKey,
+        now: ClockTime,
+        wall: WallTime,
+    ) -> Option<WallTime> {
+        if self.is_leaving() || !self.lease.is_held(now, wall) || !self.lease.is_home(key.as_str())
+        {
             return None;
         }
         self.lease.minted_after(key.as_str())
     }
 
     fn reply(&mut self, link: LinkId, request: RequestId, verdict: u32) {
-        self.send(link, PeerMessage::ClaimReply(ClaimReply {
-            request: request.get(),
-            verdict,
-            ..ClaimReply::default()
-        }));
+        self.send(
+            link,
+            PeerMessage::ClaimReply(ClaimReply {
+                request: request.get(),
+                verdict,
+                ..ClaimReply::default()
+            }),
+        );
     }
 
     fn reply_answer(&mut self, link: LinkId, request: RequestId, answer: &StoredAnswer) {
@@ -115,13 +143,16 @@
             name: name.to_string(),
             value: value.to_string(),
         });
-        self.send(link, PeerMessage::ClaimReply(ClaimReply {
-            request: request.get(),
-            verdict: claim_verdict::REPLAY,
-            status: u32::from(answer.status),
-            headers: headers.collect(),
-            body: answer.body.clone(),
-        }));
+        self.send(
+            link,
+            PeerMessage::ClaimReply(ClaimReply {
+                request: request.get(),
+                verdict: claim_verdict::REPLAY,
+                status: u32::from(answer.status),
+                headers: headers.collect(),
+                body: answer.body.clone(),
+            }),
+        );
     }
 }
 
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -142,14 +142,30 @@
             self.scheduler.reconfigure(builder);
         }
         let limits = config.limits();
-        self.ledger.set_limits(limits.key_window, limits.clock_skew, wall);
+        self.ledger
+            .set_limits(limits.key_window, limits.clock_skew, wall);
         self.config = Some(config);
         for link in self.routers.keys() {
             let message = PeerMessage::Ping(Ping { resync: true });
-            self.actions.push(SidecarAction::Send { link: *link, message });
+            self.actions.push(SidecarAction::Send {
+                link: *link,
+                message,
+            });
         }
     }
 
+    /// The configuration in force.
+    #[must_use]
+    pub const fn config(&self) -> Option<&Arc<FleetConfig>> {
+        self.config.as_ref()
+    }
+
+    /// When something may next be due.
+    #[must_use]
+    pub fn next_wake(&self) -> ClockTime {
+        self.swept + SWEEP_INTERVAL
+    }
+
     /// Takes in a host list with its revision.
     pub fn set_hosts(&mut self, hosts: &HostList, revision: Revision) {
         let homes = hosts.homes(&self.service);
@@ -181,19 +197,35 @@
             .collect();
         for old in older {
             self.link_down(old, now);
+            self.actions.push(SidecarAction::Close(old));
         }
-        self.routers.insert(link, RouterLink { host, is_muted: false });
+        self.routers.insert(
+            link,
+            RouterLink {
+                host,
+                is_muted: false,
+            },
+        );
     }
 
     /// Takes in a connection to the sidecar on `host`.
-    pub fn peer_up(&mut self, link: LinkId, host: HostName, incarnation: Incarnation, dialled: bool) {
+    pub fn peer_up(
+        &mut self,
+        link: LinkId,
+        host: HostName,
+        incarnation: Incarnation,
+        dialled: bool,
+    ) {
         self.lease.reset_peer(&host);
-        self.peers.insert(link, PeerLink {
-            host,
-            incarnation,
-            is_dialled: dialled,
-            needs_full_report: true,
-        });
+        self.peers.insert(
+            link,
+            PeerLink {
+                host,
+                incarnation,
+                is_dialled: dialled,
+                needs_full_report: true,
+            },
+        );
     }
 
     /// Takes in a message.
@@ -270,7 +302,10 @@
             running,
             staged: self.staged.len(),
             offered: self.grants.len() - running - self.staged.len(),
-            waiting: waiting.iter().map(|((owner, kind), count)| (*owner, *kind, *count)).collect(),
+            waiting: waiting
+                .iter()
+                .map(|((owner, kind), count)| (*owner, *kind, *count))
+                .collect(),
             totals: self.scheduler.own_totals().collect(),
             is_leaving: self.is_leaving(),
             is_failing: self.backoff.is_failing(),
@@ -308,7 +343,8 @@
     fn take_bids(&mut self, link: LinkId, update: &BidUpdate, now: ClockTime) {
         for line in &update.lines {
             let (customer, kind) = (CustomerId::new(line.customer), KindId::new(line.kind));
-            self.scheduler.set_bid(link, customer, kind, line.count, now);
+            self.scheduler
+                .set_bid(link, customer, kind, line.count, now);
         }
     }
 
@@ -320,7 +356,8 @@
             return;
         }
         if let Some(grant) = self.void(id) {
-            self.scheduler.set_bid(link, grant.customer, grant.kind, left, now);
+            self.scheduler
+                .set_bid(link, grant.customer, grant.kind, left, now);
         }
     }
 
@@ -331,7 +368,9 @@
         };
         match &grant.phase {
             GrantPhase::Staged { .. } => self.refuse_staged(id, refusal_reason::CANCELLED),
-            GrantPhase::Running { is_abortable: true, .. } => {
+            GrantPhase::Running {
+                is_abortable: true, ..
+            } => {
                 self.actions.push(SidecarAction::Abort(id));
             }
             GrantPhase::Running { .. } | GrantPhase::Offered { .. } => {}
@@ -357,18 +396,24 @@
             };
             self.next_grant += 1;
             let id = GrantId::new(self.next_grant);
-            self.grants.insert(id, OpenGrant {
-                link: pick.link,
-                customer: pick.customer,
-                kind: pick.kind,
-                charged: pick.estimate,
-                phase: GrantPhase::Offered { at: now },
-            });
-            self.send(pick.link, PeerMessage::Grant(GrantOffer {
-                grant: id.get(),
-                customer: pick.customer.get(),
-                kind: pick.kind.get(),
-            }));
+            self.grants.insert(
+                id,
+                OpenGrant {
+                    link: pick.link,
+                    customer: pick.customer,
+                    kind: pick.kind,
+                    charged: pick.estimate,
+                    phase: GrantPhase::Offered { at: now },
+                },
+            );
+            self.send(
+                pick.link,
+                PeerMessage::Grant(GrantOffer {
+                    grant: id.get(),
+                    customer: pick.customer.get(),
+                    kind: pick.kind.get(),
+                }),
+            );
         }
     }
 
@@ -405,7 +450,8 @@
     /// Removes a grant that was not used and gives its charge back.
     pub(super) fn void(&mut self, id: GrantId) -> Option<OpenGrant> {
         let grant = self.grants.remove(&id)?;
-        self.scheduler.charge(grant.customer, grant.kind, -grant.charged);
+        self.scheduler
+            .charge(grant.customer, grant.kind, -grant.charged);
         Some(grant)
     }
 
@@ -423,7 +469,12 @@
         if !self.is_leaving() {
             return;
         }
-        let links: Vec<LinkId> = self.routers.keys().chain(self.peers.keys()).copied().collect();
+        let links: Vec<LinkId> = self
+            .routers
+            .keys()
+            .chain(self.peers.keys())
+            .copied()
+            .collect();
         for link in links {
             self.send(link, PeerMessage::Leaving(LeavingNotice {}));
         }
@@ -435,7 +486,10 @@
     }
 
     pub(super) fn running(&self) -> usize {
-        self.grants.values().filter(|grant| grant.is_running()).count()
+        self.grants
+            .values()
+            .filter(|grant| grant.is_running())
+            .count()
     }
 
     pub(super) fn send(&mut self, link: LinkId, message: PeerMessage) {
@@ -447,10 +501,14 @@
     }
 
     pub(super) fn policy(&self) -> SharingPolicy {
-        self.config.as_ref().map_or(SharingPolicy::Fleet, |config| config.limits().policy)
+        self.config
+            .as_ref()
+            .map_or(SharingPolicy::Fleet, |config| config.limits().policy)
     }
 
     pub(super) fn grant_lease(&self) -> Duration {
-        self.config.as_ref().map_or(Duration::ZERO, |config| config.limits().grant_lease)
+        self.config
+            .as_ref()
+            .map_or(Duration::ZERO, |config| config.limits().grant_lease)
     }
 }
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -40,6 +40,7 @@
         if let Some(grant) = self.grants.get_mut(&id) {
             grant.phase = GrantPhase::Staged {
                 request: Box::new(request),
+                received: now,
                 deadline,
             };
             self.staged.push_back(id);
@@ -59,6 +60,7 @@
             kind: KindId::new(request.kind),
             charged: 0,
             phase: GrantPhase::Staged {
+                received: now,
                 deadline: now + Duration::from_millis(request.remaining_ms),
                 request: Box::new(request),
             },
@@ -90,7 +92,12 @@
     }
 
     /// Until when a staged request may begin, or why it may not.
-    fn check_start(&mut self, id: GrantId, now: ClockTime, wall: WallTime) -> Result<ClockTime, u32> {
+    fn check_start(
+        &mut self,
+        id: GrantId,
+        now: ClockTime,
+        wall: WallTime,
+    ) -> Result<ClockTime, u32> {
         let Some((link, request, deadline)) = self.staged_parts(id) else {
             return Err(refusal_reason::CLAIM_LOST);
         };
@@ -102,13 +109,17 @@
         }
         let request = RequestId::new(request.request);
         let held_until = self.check_claim(link, request, now, wall);
-        held_until.map(|until| until.min(deadline)).ok_or(refusal_reason::CLAIM_LOST)
+        held_until
+            .map(|until| until.min(deadline))
+            .ok_or(refusal_reason::CLAIM_LOST)
     }
 
     fn staged_parts(&self, id: GrantId) -> Option<(LinkId, &HandOver, ClockTime)> {
         let grant = self.grants.get(&id)?;
         match &grant.phase {
-            GrantPhase::Staged { request, deadline } => Some((grant.link, request, *deadline)),
+            GrantPhase::Staged {
+                request, deadline, ..
+            } => Some((grant.link, request, *deadline)),
             _ => None,
         }
     }
@@ -120,18 +131,30 @@
         let Some(grant) = self.grants.get_mut(&id) else {
             return;
         };
-        let is_abortable = config.kind(grant.kind).is_none_or(|kind: &KindConfig| kind.idempotent);
-        let GrantPhase::Staged { request, deadline } = grant.phase.clone() else {
+        let is_abortable = config
+            .kind(grant.kind)
+            .is_none_or(|kind: &KindConfig| kind.idempotent);
+        let GrantPhase::Staged {
+            request,
+            received,
+            deadline,
+        } = grant.phase.clone()
+        else {
             return;
         };
         let key: Option<IdempotencyKey> = request.key.parse().ok();
-        let keep_bytes = if key.is_some() { config.limits().kept_answer as usize } else { 0 };
+        let keep_bytes = if key.is_some() {
+            config.limits().kept_answer as usize
+        } else {
+            0
+        };
         let order = RunOrder {
             grant: id,
             link: grant.link,
             customer: grant.customer,
             kind: grant.kind,
             request: *request,
+            received,
             start_by,
             deadline,
             is_abortable,
@@ -173,7 +196,9 @@
                 self.staged.retain(|staged| *staged != id);
                 self.void(id);
             }
-            GrantPhase::Running { is_abortable: true, .. } => {
+            GrantPhase::Running {
+                is_abortable: true, ..
+            } => {
                 self.actions.push(SidecarAction::Abort(id));
             }
             GrantPhase::Running { .. } => {}
@@ -198,7 +223,8 @@
         let Some(grant) = self.grants.remove(&id) else {
             return;
         };
-        self.scheduler.charge(grant.customer, grant.kind, cost - grant.charged);
+        self.scheduler
+            .charge(grant.customer, grant.kind, cost - grant.charged);
         let number = GrantId::new(match id.get() & PUSH_GRANT_BIT {
             0 => id.get(),
             _ => id.get() ^ (grant.link.get() << 40),
--- a/crates/cicadalock-core/src/time/clock_time.rs
+++ b/crates/cicadalock-core/src/time/clock_time.rs
@@ -52,6 +52,11 @@
 
 impl fmt::Display for ClockTime {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}.{:06}s", self.micros / 1_000_000, self.micros % 1_000_000)
+        write!(
+            formatter,
+            "{}.{:06}s",
+            self.micros / 1_000_000,
+            self.micros % 1_000_000
+        )
     }
 }
--- /dev/null
+++ b/crates/cicadalock-node/src/callers/handler.rs
@@ -0,0 +1,289 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cicadalock_core::config::FleetConfig;
+use cicadalock_core::id::RequestId;
+use cicadalock_core::message::HeaderField;
+use cicadalock_core::outcome::RequestOutcome;
+use cicadalock_core::router::{CallerEvent, CallerRequest};
+use cicadalock_core::time::ClockTime;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use tokio::sync::watch;
+
+use super::answer::{AnswerBody, AnswerStream, RequestWatch};
+use super::classify::{RequestClass, classify, endpoint_headers, header};
+use super::problem::{OUTCOME_HEADER, RequestProblem, outcome_value, respond_failure};
+use crate::clock::ProcessClock;
+use crate::hub::{HubInput, RouterInput};
+use crate::metrics::{Metric, ProcessMetrics};
+use crate::trace::{HopSpan, SpanSender, TraceContext};
+
+/// Events that may wait for one caller; the sidecar's window is smaller.
+const EVENT_CAPACITY: usize = 1_024;
+
+/// Longest time for a caller to send its body.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Header fields of an endpoint's answer that end at the router.
+const DROPPED_HEADERS: [&str; 5] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves callers' requests.
+#[derive(Debug)]
+pub(super) struct CallHandler {
+    pub(super) hub: flume::Sender<HubInput<RouterInput>>,
+    pub(super) config: watch::Receiver<Option<Arc<FleetConfig>>>,
+    pub(super) metrics: Arc<ProcessMetrics>,
+    pub(super) spans: SpanSender,
+    pub(super) clock: ProcessClock,
+    pub(super) next_request: AtomicU64,
+}
+
+/// The spans of one request at the router.
+#[derive(Debug)]
+pub(super) struct CallTrace {
+    spans: SpanSender,
+    clock: ProcessClock,
+    parent: Option<u64>,
+    context: TraceContext,
+    start: ClockTime,
+}
+
+impl CallHandler {
+    /// Answers one request.
+    pub(super) async fn serve(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Infallible> {
+        self.metrics.add(Metric::Requests, 1);
+        let (parts, body) = request.into_parts();
+        let config = self.config.borrow().clone();
+        let class = match classify(config, &parts) {
+            Ok(class) => class,
+            Err(problem) => return Ok(self.reject(problem)),
+        };
+        let body = match read_body(body, class.config.limits().body).await {
+            Ok(body) => body,
+            Err(problem) => return Ok(self.reject(problem)),
+        };
+        let trace = self.begin_trace(header(&parts.headers, "traceparent"));
+        let mut headers = endpoint_headers(&parts.headers);
+        headers.push(HeaderField {
+            name: "traceparent".into(),
+            value: trace.context.to_string(),
+        });
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let call = build_call(class, parts.method.as_str(), target, headers, body);
+        Ok(self.submit(call, trace).await)
+    }
+
+    async fn submit(&self, call: CallerRequest, trace: CallTrace) -> Response<AnswerBody> {
+        let id = RequestId::new(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let (reply, events) = flume::bounded(EVENT_CAPACITY);
+        let call = Box::new(call);
+        let input = HubInput::Role(RouterInput::Submit { id, call, reply });
+        let mut watch = RequestWatch {
+            id,
+            hub: self.hub.clone(),
+            metrics: Arc::clone(&self.metrics),
+            is_over: true,
+        };
+        if self.hub.send_async(input).await.is_ok() {
+            watch.is_over = false;
+        }
+        loop {
+            match events.recv_async().await {
+                Ok(CallerEvent::HandedOver(_)) => {
+                    trace.span("router.queue", trace.start, "granted")
+                }
+                Ok(CallerEvent::Head { status, headers }) => {
+                    return stream_answer(status, &headers, events, watch, trace);
+                }
+                Ok(CallerEvent::Fail(failure)) => {
+                    watch.is_over = true;
+                    self.count_failure(failure.outcome);
+                    trace.finish(failure.problem);
+                    return respond_failure(&failure, failure_detail(failure.outcome));
+                }
+                Ok(_) => {}
+                Err(_) => {
+                    watch.is_over = true;
+                    return self.reject(RequestProblem {
+                        status: 503,
+                        problem: "router-stopping",
+                        detail: "the router has stopped",
+                    });
+                }
+            }
+        }
+    }
+
+    fn begin_trace(&self, header: Option<&str>) -> CallTrace {
+        let outer: Option<TraceContext> = header.and_then(|text| text.parse().ok());
+        CallTrace {
+            spans: self.spans.clone(),
+            clock: self.clock,
+            parent: outer.map(|context| context.span()),
+            context: outer.map_or_else(TraceContext::begin, |context| context.child()),
+            start: self.clock.now(),
+        }
+    }
+
+    fn reject(&self, problem: RequestProblem) -> Response<AnswerBody> {
+        self.metrics.add(Metric::Rejected, 1);
+        problem.respond()
+    }
+
+    fn count_failure(&self, outcome: RequestOutcome) {
+        let metric = match outcome {
+            RequestOutcome::Complete => Metric::Complete,
+            RequestOutcome::NotRun => Metric::NotRun,
+            RequestOutcome::Unknown => Metric::Unknown,
+        };
+        self.metrics.add(metric, 1);
+    }
+}
+
+impl CallTrace {
+    /// Sends the span of the whole request.
+    pub(super) fn finish(&self, status: &str) {
+        self.send(
+            "router.request",
+            self.context,
+            self.parent,
+            self.start,
+            status,
+        );
+    }
+
+    fn span(&self, name: &str, start: ClockTime, status: &str) {
+        self.send(
+            name,
+            self.context.child(),
+            Some(self.context.span()),
+            start,
+            status,
+        );
+    }
+
+    fn send(
+        &self,
+        name: &str,
+        context: TraceContext,
+        parent: Option<u64>,
+        start: ClockTime,
+        status: &str,
+    ) {
+        self.spans.send(HopSpan {
+            name,
+            context,
+            parent,
+            start: self.clock.wall_at(start),
+            duration: self.clock.now().since(start),
+            status,
+        });
+    }
+}
+
+async fn read_body(body: Incoming, limit: u64) -> Result<Vec<u8>, RequestProblem> {
+    const TOO_LARGE: RequestProblem = RequestProblem {
+        status: 413,
+        problem: "body-too-large",
+        detail: "the body exceeds the limit of the configuration",
+    };
+    let declared = hyper::body::Body::size_hint(&body).lower();
+    if declared > limit {
+        return Err(TOO_LARGE);
+    }
+    let limited = Limited::new(body, limit as usize);
+    match tokio::time::timeout(BODY_LIMIT, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes().into()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(TOO_LARGE),
+        Ok(Err(_)) => Err(RequestProblem {
+            status: 400,
+            problem: "bad-body",
+            detail: "the body is not whole",
+        }),
+        Err(_) => Err(RequestProblem {
+            status: 408,
+            problem: "slow-body",
+            detail: "the body did not come in time",
+        }),
+    }
+}
+
+fn build_call(
+    class: RequestClass,
+    method: &str,
+    target: &str,
+    headers: Vec<HeaderField>,
+    body: Vec<u8>,
+) -> CallerRequest {
+    let mut builder = CallerRequest::builder(&class.customer, &class.kind)
+        .method(method)
+        .target(target)
+        .headers(headers)
+        .body(body)
+        .key(class.key);
+    if let Some(timeout) = class.timeout {
+        builder = builder.timeout(timeout);
+    }
+    builder.build()
+}
+
+fn stream_answer(
+    status: u16,
+    headers: &[HeaderField],
+    events: flume::Receiver<CallerEvent>,
+    watch: RequestWatch,
+    trace: CallTrace,
+) -> Response<AnswerBody> {
+    let declared = headers
+        .iter()
+        .find(|field| field.name == CONTENT_LENGTH.as_str());
+    let length = declared.and_then(|field| field.value.parse().ok());
+    let stream = AnswerStream {
+        events: events.into_stream(),
+        watch,
+        length,
+        trace,
+        taken: 0,
+        passed: 0,
+    };
+    let mut response = Response::new(AnswerBody::Stream(Box::new(stream)));
+    *response.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::BAD_GATEWAY);
+    for field in headers {
+        if DROPPED_HEADERS.binary_search(&field.name.as_str()).is_ok() {
+            continue;
+        }
+        let name = field.name.parse::<HeaderName>();
+        if let (Ok(name), Ok(value)) = (name, field.value.parse::<HeaderValue>()) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    let outcome = outcome_value(RequestOutcome::Complete);
+    response.headers_mut().insert(OUTCOME_HEADER, outcome);
+    response
+}
+
+const fn failure_detail(outcome: RequestOutcome) -> &'static str {
+    match outcome {
+        RequestOutcome::Complete => "the request ran",
+        RequestOutcome::NotRun => "the request did not run and will not run",
+        RequestOutcome::Unknown => "the request may have run",
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/cli/daemon.rs
@@ -0,0 +1,266 @@
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use cicadalock_core::id::Incarnation;
+use cicadalock_core::message::Hello;
+use cicadalock_core::revision::{Document, DocumentKind};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use simplelog::{ConfigBuilder, WriteLogger};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+
+use crate::admin::AdminPort;
+use crate::callers::CallerPort;
+use crate::clock::ProcessClock;
+use crate::endpoint::EndpointPort;
+use crate::hub::{HubBuilder, HubInput, RouterInput, RouterRole, SidecarRole};
+use crate::links::{LinkIdentity, LinkService};
+use crate::metrics::{MetricsReporter, ProcessMetrics};
+use crate::platform::{PlatformClient, PlatformWatcher};
+use crate::settings::{ProcessSettings, RouterSettings, SidecarSettings};
+use crate::trace::SpanSender;
+use crate::wire::{FleetKey, KeyFileError, RevisionGauge};
+
+/// Inputs that may wait for the hub.
+const RING_CAPACITY: usize = 8_192;
+
+/// Orders that may wait for the endpoint's port.
+const ORDER_CAPACITY: usize = 65_536;
+
+/// Why a daemon could not run.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The fleet's key cannot be had.
+    #[snafu(context(false), display("{source}"))]
+    Key {
+        /// Cause.
+        source: KeyFileError,
+    },
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A thread or a socket cannot be had.
+    #[snafu(context(false), display("{source}"))]
+    System {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// What both kinds of daemon need.
+struct ProcessParts {
+    clock: ProcessClock,
+    incarnation: Incarnation,
+    key: FleetKey,
+    metrics: Arc<ProcessMetrics>,
+    revisions: RevisionGauge,
+    reader_mark: Arc<AtomicBool>,
+    spans: SpanSender,
+    reporter: Option<MetricsReporter>,
+}
+
+impl ProcessParts {
+    fn prepare(role: &str, settings: &ProcessSettings) -> Result<Self, DaemonError> {
+        start_log(settings);
+        let clock = ProcessClock::start();
+        let metrics = Arc::new(ProcessMetrics::new());
+        let reporter = match settings.metrics {
+            Some(target) => Some(MetricsReporter::start(role, target, Arc::clone(&metrics))?),
+            None => None,
+        };
+        let start_millis = clock.started().as_unix_millis();
+        Ok(Self {
+            clock,
+            incarnation: Incarnation::from_start(start_millis, rand::random()),
+            key: FleetKey::load(&settings.key_file)?,
+            spans: SpanSender::new(
+                settings.host.as_str(),
+                settings.traces,
+                Arc::clone(&metrics),
+            )?,
+            metrics,
+            revisions: RevisionGauge::default(),
+            reader_mark: Arc::new(AtomicBool::new(true)),
+            reporter,
+        })
+    }
+
+    fn identity(&self, settings: &ProcessSettings, service: &str) -> LinkIdentity {
+        LinkIdentity::new(Hello {
+            host: settings.host.to_string(),
+            service: service.to_owned(),
+            zone: settings.zone.to_string(),
+            incarnation: self.incarnation.get(),
+            nonce: Vec::new(),
+            leaving: false,
+        })
+    }
+
+    fn watch_platform<I: From<Document> + Send + 'static>(
+        &self,
+        settings: &ProcessSettings,
+        hub: &flume::Sender<I>,
+    ) -> Result<Vec<PlatformWatcher>, DaemonError> {
+        let mut watchers = Vec::new();
+        for kind in DocumentKind::ALL {
+            if let Some(address) = settings.platform {
+                let watcher = PlatformWatcher::builder(PlatformClient::new(address))
+                    .revisions(self.revisions.clone())
+                    .metrics(Arc::clone(&self.metrics))
+                    .reader_mark(Arc::clone(&self.reader_mark))
+                    .start(kind, hub.clone())?;
+                watchers.push(watcher);
+            }
+        }
+        Ok(watchers)
+    }
+
+    fn hub(&self, settings: &ProcessSettings, identity: LinkIdentity) -> HubBuilder {
+        HubBuilder::new(settings.clone(), self.clock, identity)
+            .revisions(self.revisions.clone())
+            .metrics(Arc::clone(&self.metrics))
+            .reader_mark(Arc::clone(&self.reader_mark))
+    }
+}
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the key, an address or a thread cannot be had.
+pub(super) fn run_router(settings: RouterSettings) -> Result<(), DaemonError> {
+    let process = &settings.process;
+    let parts = ProcessParts::prepare("router", process)?;
+    let callers = bind(settings.callers)?;
+    let admin = bind(process.admin)?;
+    let (hub, ring) = flume::bounded(RING_CAPACITY);
+    let identity = parts.identity(process, "");
+    let links = LinkService::builder(identity.clone(), parts.key.clone(), hub.clone())
+        .revisions(parts.revisions.clone())
+        .metrics(Arc::clone(&parts.metrics))
+        .start()?;
+    let (config, shown) = watch::channel(None);
+    let role = RouterRole::new(config, Arc::clone(&parts.metrics));
+    let watchers = parts.watch_platform(process, &hub)?;
+    let admin = AdminPort::start(admin, hub.clone())?;
+    let port = CallerPort::builder(hub.clone(), shown, parts.spans.clone(), parts.clock)
+        .connections(settings.connections)
+        .metrics(Arc::clone(&parts.metrics))
+        .start(callers)?;
+    let stop = hub.clone();
+    let drain = process.drain.get();
+    let signals = on_stop_signal(move || {
+        // The balancer gets time to notice; then the port closes and running requests end.
+        let _ = stop.send(HubInput::Stop);
+        std::thread::sleep(drain);
+        port.join();
+        let _ = stop.send(HubInput::Role(RouterInput::PortClosed));
+    })?;
+    drop(hub);
+    parts.hub(process, identity).build(role, ring, links).run();
+    finish(signals, watchers, admin, parts);
+    Ok(())
+}
+
+/// Runs a sidecar until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the key, an address or a thread cannot be had.
+pub(super) fn run_sidecar(settings: SidecarSettings) -> Result<(), DaemonError> {
+    let process = &settings.process;
+    let parts = ProcessParts::prepare("sidecar", process)?;
+    let listener = bind(settings.listen)?;
+    let admin = bind(process.admin)?;
+    let (hub, ring) = flume::bounded(RING_CAPACITY);
+    let (orders, order_ring) = flume::bounded(ORDER_CAPACITY);
+    let identity = parts.identity(process, settings.service.as_str());
+    let links = LinkService::builder(identity.clone(), parts.key.clone(), hub.clone())
+        .revisions(parts.revisions.clone())
+        .metrics(Arc::clone(&parts.metrics))
+        .listen(listener)
+        .start()?;
+    let endpoint = EndpointPort::builder(
+        settings.endpoint,
+        hub.clone(),
+        parts.spans.clone(),
+        parts.clock,
+    )
+    .metrics(Arc::clone(&parts.metrics))
+    .start(order_ring)?;
+    let host = process.host.clone();
+    let role = SidecarRole::new(
+        host,
+        settings.service.clone(),
+        parts.incarnation,
+        parts.clock,
+        orders,
+    );
+    let watchers = parts.watch_platform(process, &hub)?;
+    let admin = AdminPort::start(admin, hub.clone())?;
+    let stop = hub.clone();
+    let signals = on_stop_signal(move || {
+        let _ = stop.send(HubInput::Stop);
+    })?;
+    drop(hub);
+    parts.hub(process, identity).build(role, ring, links).run();
+    endpoint.join();
+    finish(signals, watchers, admin, parts);
+    Ok(())
+}
+
+/// The thread that waits for the signal to stop.
+struct SignalThread {
+    handle: signal_hook::iterator::Handle,
+    thread: std::thread::JoinHandle<()>,
+}
+
+fn on_stop_signal(act: impl FnOnce() + Send + 'static) -> Result<SignalThread, DaemonError> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let handle = signals.handle();
+    let thread = std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            if signals.forever().next().is_some() {
+                act();
+            }
+        })?;
+    Ok(SignalThread { handle, thread })
+}
+
+fn finish(
+    signals: SignalThread,
+    watchers: Vec<PlatformWatcher>,
+    admin: AdminPort,
+    parts: ProcessParts,
+) {
+    signals.handle.close();
+    let _ = signals.thread.join();
+    for watcher in watchers {
+        watcher.join();
+    }
+    admin.join();
+    if let Some(reporter) = parts.reporter {
+        reporter.join();
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).context(ListenSnafu { address })
+}
+
+fn start_log(settings: &ProcessSettings) {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("cicadalock")
+        .build();
+    // A logger that is there already stays.
+    let _ = WriteLogger::init(settings.log_level, config, std::io::stderr());
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/cli/run.rs
@@ -0,0 +1,103 @@
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use super::check::{bundle, check};
+use super::daemon::{run_router, run_sidecar};
+use super::flags::{Cicadalock, CicadalockCmd, Status};
+use crate::admin::{fetch_status, render_status};
+use crate::settings::{RouterSettings, SettingsError, SidecarSettings};
+
+/// How a command ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitStatus {
+    /// All is well.
+    Fine,
+    /// Something failed at run time.
+    Failure,
+    /// The input has findings.
+    Findings,
+}
+
+/// Runs the command line of this process.
+#[must_use]
+pub fn main() -> ExitCode {
+    ExitCode::from(run_command(std::env::args_os().skip(1)).code())
+}
+
+/// Runs one command with its arguments.
+pub fn run_command<I>(arguments: I) -> ExitStatus
+where
+    I: IntoIterator,
+    I::Item: Into<OsString>,
+{
+    let arguments = arguments.into_iter().map(Into::into).collect();
+    let flags = match Cicadalock::from_vec(arguments) {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            return ExitStatus::Fine;
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitStatus::Findings;
+        }
+    };
+    match flags.subcommand {
+        CicadalockCmd::Router(flags) => daemon(RouterSettings::load(&flags.settings), run_router),
+        CicadalockCmd::Sidecar(flags) => {
+            daemon(SidecarSettings::load(&flags.settings), run_sidecar)
+        }
+        CicadalockCmd::Check(flags) => check(&flags),
+        CicadalockCmd::Bundle(flags) => bundle(&flags),
+        CicadalockCmd::Status(flags) => status(&flags),
+    }
+}
+
+impl ExitStatus {
+    /// The process's exit code.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Fine => 0,
+            Self::Failure => 1,
+            Self::Findings => 2,
+        }
+    }
+}
+
+fn daemon<S>(
+    settings: Result<S, SettingsError>,
+    run: fn(S) -> Result<(), super::daemon::DaemonError>,
+) -> ExitStatus {
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitStatus::Findings;
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitStatus::Fine,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitStatus::Failure
+        }
+    }
+}
+
+fn status(flags: &Status) -> ExitStatus {
+    match fetch_status(flags.address) {
+        Ok(status) if flags.json => {
+            println!("{status}");
+            ExitStatus::Fine
+        }
+        Ok(status) => {
+            print!("{}", render_status(&status));
+            ExitStatus::Fine
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitStatus::Failure
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/endpoint/call.rs
@@ -0,0 +1,352 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cicadalock_core::config::ServiceProtocol;
+use cicadalock_core::id::GrantId;
+use cicadalock_core::message::{HandOver, HeaderField, end_state};
+use cicadalock_core::sidecar::CallResult;
+use cicadalock_core::time::ClockTime;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::meter::TokenMeter;
+use super::order::CallOrder;
+use super::relay::AnswerRelay;
+use crate::clock::ProcessClock;
+use crate::hub::{HubInput, SidecarInput};
+use crate::metrics::{Metric, ProcessMetrics};
+use crate::trace::{HopSpan, SpanSender, TraceContext};
+
+/// Longest time to reach the endpoint.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// A stream that says nothing for longer has broken off.
+const STALL_LIMIT: Duration = Duration::from_secs(15);
+
+/// How much longer a call that must not be cut may run after its answer is of no more use.
+const LATE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Tokens after which the hub hears of a call's cost.
+const PROGRESS_STEP: i64 = 16;
+
+/// What every call of a sidecar shares.
+#[derive(Debug)]
+pub(super) struct CallContext {
+    pub(super) endpoint: SocketAddr,
+    pub(super) hub: flume::Sender<HubInput<SidecarInput>>,
+    pub(super) metrics: Arc<ProcessMetrics>,
+    pub(super) spans: SpanSender,
+    pub(super) clock: ProcessClock,
+}
+
+/// One call in progress.
+#[derive(Debug)]
+pub(super) struct EndpointCall {
+    pub(super) context: Arc<CallContext>,
+    pub(super) call: CallOrder,
+    pub(super) abort: CancellationToken,
+    pub(super) window: Arc<Semaphore>,
+}
+
+/// A connection whose driver ends with it.
+struct EndpointConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for EndpointConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl EndpointCall {
+    /// Makes the call and tells the hub, then the router, how it ended.
+    pub(super) async fn run(self) -> GrantId {
+        let context = Arc::clone(&self.context);
+        let grant = self.call.order.grant;
+        let received = self.call.order.received;
+        let began = context.clock.now();
+        let request = &self.call.order.request;
+        let trace = traceparent(request);
+        let keep = self.call.order.keep_bytes;
+        let outbox = self.call.outbox.clone();
+        let mut relay = AnswerRelay::new(request.grant, outbox, Arc::clone(&self.window), keep);
+        let own = trace.map(|trace| trace.child());
+        context.metrics.add(Metric::Calls, 1);
+        let (result, cost) = self.attempt(&mut relay, own).await;
+        let status = result_name(&result);
+        if let (Some(trace), Some(own)) = (trace, own) {
+            context.span(
+                "sidecar.stage",
+                trace,
+                trace.child(),
+                received,
+                began,
+                "started",
+            );
+            context.span(
+                "endpoint.call",
+                trace,
+                own,
+                began,
+                context.clock.now(),
+                status,
+            );
+        }
+        let state = match &result {
+            CallResult::Complete { .. } => Some(end_state::COMPLETE),
+            CallResult::Broken => Some(end_state::BROKEN),
+            // The hub refuses the request as not run.
+            CallResult::NotReached | CallResult::TooLate => None,
+        };
+        context.count(&result);
+        let input = HubInput::Role(SidecarInput::Ended(grant, result, cost));
+        let _ = context.hub.send_async(input).await;
+        if let Some(state) = state {
+            relay.end(state).await;
+        }
+        grant
+    }
+
+    async fn attempt(
+        &self,
+        relay: &mut AnswerRelay,
+        trace: Option<TraceContext>,
+    ) -> (CallResult, i64) {
+        let Some(mut connection) = self.connect().await else {
+            return (CallResult::NotReached, 0);
+        };
+        let began = self.context.clock.now();
+        // The clock counts suspension: a process that slept past its lease does not call.
+        if began >= self.call.order.start_by || self.abort.is_cancelled() {
+            return (CallResult::TooLate, 0);
+        }
+        let mut meter = None;
+        let request = self.build_request(trace);
+        let exchange = self.exchange(&mut connection, request, relay, &mut meter);
+        let limit = self.time_limit(began);
+        let whole = tokio::select! {
+            whole = exchange => whole,
+            () = self.abort.cancelled() => None,
+            () = tokio::time::sleep(limit) => None,
+        };
+        let cost = match (self.call.protocol, &meter) {
+            (ServiceProtocol::Completions, Some(meter)) => meter.tokens(),
+            (ServiceProtocol::Completions, None) => 0,
+            (ServiceProtocol::Plain, _) => elapsed_millis(began, self.context.clock.now()),
+        };
+        match whole {
+            Some(status) => (
+                CallResult::Complete {
+                    status,
+                    kept: relay.take_kept(),
+                },
+                cost,
+            ),
+            None => (CallResult::Broken, cost),
+        }
+    }
+
+    /// Sends the request and passes the answer on; none if it is not whole.
+    async fn exchange(
+        &self,
+        connection: &mut EndpointConnection,
+        request: Request<Full<Bytes>>,
+        relay: &mut AnswerRelay,
+        meter: &mut Option<TokenMeter>,
+    ) -> Option<u16> {
+        let response = connection.sender.send_request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let is_measured = has_verifiable_end(&response);
+        let is_stream = is_event_stream(response.headers());
+        if self.call.protocol == ServiceProtocol::Completions {
+            let new = if is_stream {
+                TokenMeter::for_stream()
+            } else {
+                TokenMeter::for_whole()
+            };
+            *meter = Some(new);
+        }
+        relay.head(status, answer_headers(response.headers())).await;
+        self.pass_body(response.into_body(), relay, meter).await?;
+        let is_complete = meter.as_mut().is_none_or(|meter| {
+            meter.finish();
+            meter.is_complete()
+        });
+        let has_mark = meter.is_some() && is_stream;
+        (is_complete && (is_measured || has_mark)).then_some(status)
+    }
+
+    async fn pass_body(
+        &self,
+        mut body: Incoming,
+        relay: &mut AnswerRelay,
+        meter: &mut Option<TokenMeter>,
+    ) -> Option<()> {
+        let mut told = 0;
+        loop {
+            let frame = match meter {
+                Some(_) => tokio::time::timeout(STALL_LIMIT, body.frame()).await.ok()?,
+                None => body.frame().await,
+            };
+            let Some(frame) = frame else {
+                return Some(());
+            };
+            let Ok(bytes) = frame.ok()?.into_data() else {
+                continue;
+            };
+            if let Some(meter) = meter {
+                meter.feed(&bytes);
+                if meter.tokens() >= told + PROGRESS_STEP {
+                    told = meter.tokens();
+                    self.tell_progress(told).await;
+                }
+            }
+            let is_taken = relay.body(&bytes).await;
+            if !is_taken && self.call.order.is_abortable {
+                return None;
+            }
+        }
+    }
+
+    async fn tell_progress(&self, cost: i64) {
+        let input = SidecarInput::Progress(self.call.order.grant, cost);
+        let _ = self.context.hub.send_async(HubInput::Role(input)).await;
+    }
+
+    async fn connect(&self) -> Option<EndpointConnection> {
+        let connecting = TcpStream::connect(self.context.endpoint);
+        let stream = tokio::time::timeout(CONNECT_LIMIT, connecting)
+            .await
+            .ok()?
+            .ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Some(EndpointConnection { sender, driver })
+    }
+
+    fn build_request(&self, trace: Option<TraceContext>) -> Request<Full<Bytes>> {
+        let order = &self.call.order;
+        let body = Full::new(Bytes::from(order.request.body.clone()));
+        let mut request = Request::new(body);
+        *request.method_mut() = order.request.method.parse().unwrap_or(hyper::Method::POST);
+        *request.uri_mut() = order.request.target.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        for field in &order.request.headers {
+            put(headers, &field.name, &field.value);
+        }
+        headers.remove("traceparent");
+        if let Some(trace) = trace {
+            put(headers, "traceparent", &trace.to_string());
+        }
+        put(headers, HOST.as_str(), &self.context.endpoint.to_string());
+        put(headers, "cicadalock-customer", self.call.customer.as_str());
+        put(headers, "cicadalock-kind", self.call.kind.as_str());
+        put(headers, "cicadalock-fence", &order.fence.to_string());
+        request
+    }
+
+    fn time_limit(&self, now: ClockTime) -> Duration {
+        let left = self.call.order.deadline.since(now);
+        if self.call.order.is_abortable {
+            left
+        } else {
+            left + LATE_LIMIT
+        }
+    }
+}
+
+impl CallContext {
+    fn count(&self, result: &CallResult) {
+        match result {
+            CallResult::NotReached => self.metrics.add(Metric::CallsNotReached, 1),
+            CallResult::Broken => self.metrics.add(Metric::CallsBroken, 1),
+            CallResult::TooLate | CallResult::Complete { .. } => {}
+        }
+    }
+
+    fn span(
+        &self,
+        name: &str,
+        parent: TraceContext,
+        own: TraceContext,
+        start: ClockTime,
+        end: ClockTime,
+        status: &str,
+    ) {
+        self.spans.send(HopSpan {
+            name,
+            context: own,
+            parent: Some(parent.span()),
+            start: self.clock.wall_at(start),
+            duration: end.since(start),
+            status,
+        });
+    }
+}
+
+fn traceparent(request: &HandOver) -> Option<TraceContext> {
+    let field = request
+        .headers
+        .iter()
+        .find(|field| field.name == "traceparent")?;
+    field.value.parse().ok()
+}
+
+const fn result_name(result: &CallResult) -> &'static str {
+    match result {
+        CallResult::NotReached => "not reached",
+        CallResult::TooLate => "too late",
+        CallResult::Complete { .. } => "complete",
+        CallResult::Broken => "broken",
+    }
+}
+
+fn elapsed_millis(began: ClockTime, now: ClockTime) -> i64 {
+    i64::try_from(now.since(began).as_millis()).unwrap_or(i64::MAX)
+}
+
+/// Tells whether a cut of the body would be noticed.
+fn has_verifiable_end(response: &Response<Incoming>) -> bool {
+    let is_chunked = response
+        .headers()
+        .contains_key(hyper::header::TRANSFER_ENCODING);
+    is_chunked || response.body().size_hint().exact().is_some()
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+fn answer_headers(headers: &HeaderMap) -> Vec<HeaderField> {
+    let fields = headers.iter().filter_map(|(name, value)| {
+        Some(HeaderField {
+            name: name.as_str().to_owned(),
+            value: value.to_str().ok()?.to_owned(),
+        })
+    });
+    fields.collect()
+}
+
+fn put(headers: &mut HeaderMap, name: &str, value: &str) {
+    if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), value.parse::<HeaderValue>()) {
+        headers.append(name, value);
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/endpoint/port.rs
@@ -0,0 +1,138 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use cicadalock_core::collect::SortedMap;
+use cicadalock_core::id::GrantId;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::call::{CallContext, EndpointCall};
+use super::order::{CallOrder, EndpointOrder, WINDOW_UNITS};
+use crate::clock::ProcessClock;
+use crate::hub::{HubInput, SidecarInput};
+use crate::metrics::ProcessMetrics;
+use crate::trace::SpanSender;
+
+/// The thread that calls the endpoint.
+#[derive(Debug)]
+pub struct EndpointPort {
+    thread: JoinHandle<()>,
+}
+
+/// Collects what an [`EndpointPort`] needs.
+#[derive(Debug)]
+pub struct EndpointBuilder {
+    context: CallContext,
+}
+
+impl EndpointPort {
+    /// Starts the construction of a port to `endpoint` that tells `hub` how calls end.
+    #[must_use]
+    pub fn builder(
+        endpoint: SocketAddr,
+        hub: flume::Sender<HubInput<SidecarInput>>,
+        spans: SpanSender,
+        clock: ProcessClock,
+    ) -> EndpointBuilder {
+        EndpointBuilder {
+            context: CallContext {
+                endpoint,
+                hub,
+                metrics: Arc::new(ProcessMetrics::new()),
+                spans,
+                clock,
+            },
+        }
+    }
+
+    /// Waits for the end of the thread, which follows the end of its ring.
+    pub fn join(self) {
+        let _ = self.thread.join();
+    }
+}
+
+impl EndpointBuilder {
+    /// Sets the counters.
+    #[must_use]
+    pub fn metrics(mut self, metrics: Arc<ProcessMetrics>) -> Self {
+        self.context.metrics = metrics;
+        self
+    }
+
+    /// Starts the thread, which takes calls from `orders`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread or its timers cannot be had.
+    pub fn start(self, orders: flume::Receiver<EndpointOrder>) -> io::Result<EndpointPort> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let context = Arc::new(self.context);
+        let thread = std::thread::Builder::new()
+            .name("endpoint".into())
+            .spawn(move || runtime.block_on(serve(context, orders)))?;
+        Ok(EndpointPort { thread })
+    }
+}
+
+#[derive(Debug)]
+struct CallHandle {
+    abort: CancellationToken,
+    window: Arc<Semaphore>,
+}
+
+async fn serve(context: Arc<CallContext>, orders: flume::Receiver<EndpointOrder>) {
+    let mut calls: SortedMap<GrantId, CallHandle> = SortedMap::new();
+    let mut tasks = JoinSet::new();
+    loop {
+        tokio::select! {
+            order = orders.recv_async() => match order {
+                Ok(EndpointOrder::Call(call)) => begin(&context, *call, &mut calls, &mut tasks),
+                Ok(EndpointOrder::Abort(grant)) => {
+                    if let Some(call) = calls.get(&grant) {
+                        call.abort.cancel();
+                    }
+                }
+                Ok(EndpointOrder::Credit(grant, units)) => {
+                    if let Some(call) = calls.get(&grant) {
+                        call.window.add_permits(units.min(WINDOW_UNITS) as usize);
+                    }
+                }
+                Err(_) => break,
+            },
+            Some(ended) = tasks.join_next() => {
+                if let Ok(grant) = ended {
+                    calls.remove(&grant);
+                }
+            }
+        }
+    }
+    for call in calls.values() {
+        call.abort.cancel();
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+fn begin(
+    context: &Arc<CallContext>,
+    call: CallOrder,
+    calls: &mut SortedMap<GrantId, CallHandle>,
+    tasks: &mut JoinSet<GrantId>,
+) {
+    let handle = CallHandle {
+        abort: CancellationToken::new(),
+        window: Arc::new(Semaphore::new(WINDOW_UNITS as usize)),
+    };
+    let call = EndpointCall {
+        context: Arc::clone(context),
+        abort: handle.abort.clone(),
+        window: Arc::clone(&handle.window),
+        call,
+    };
+    calls.insert(call.call.order.grant, handle);
+    tasks.spawn(call.run());
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/hub/sidecar_role.rs
@@ -0,0 +1,196 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cicadalock_core::config::FleetConfig;
+use cicadalock_core::id::{GrantId, HostName, Incarnation, LinkId, Revision, ServiceName};
+use cicadalock_core::member::HostList;
+use cicadalock_core::message::{Hello, PeerMessage};
+use cicadalock_core::sidecar::{CallResult, RunOrder, SidecarAction, SidecarMachine};
+use cicadalock_core::time::ClockTime;
+use serde_json::{Value, json};
+
+use super::{HubRole, LinkTable};
+use crate::clock::ProcessClock;
+use crate::endpoint::{CallOrder, EndpointOrder};
+
+/// What the endpoint's port tells the hub.
+#[derive(Debug)]
+pub enum SidecarInput {
+    /// Cost of a running call so far.
+    Progress(GrantId, i64),
+    /// End of a call, with its whole cost.
+    Ended(GrantId, CallResult, i64),
+}
+
+/// The role of a sidecar.
+#[derive(Debug)]
+pub struct SidecarRole {
+    machine: SidecarMachine,
+    clock: ProcessClock,
+    host: HostName,
+    service: ServiceName,
+    incarnation: Incarnation,
+    orders: flume::Sender<EndpointOrder>,
+}
+
+impl SidecarRole {
+    /// Creates the role of the sidecar on `host`; calls go to `orders`.
+    #[must_use]
+    pub fn new(
+        host: HostName,
+        service: ServiceName,
+        incarnation: Incarnation,
+        clock: ProcessClock,
+        orders: flume::Sender<EndpointOrder>,
+    ) -> Self {
+        let machine = SidecarMachine::builder(host.clone(), service.clone())
+            .incarnation(incarnation)
+            .started(clock.started())
+            .build();
+        Self {
+            machine,
+            clock,
+            host,
+            service,
+            incarnation,
+            orders,
+        }
+    }
+
+    fn start(&mut self, order: RunOrder, links: &LinkTable, now: ClockTime) {
+        let (Some(outbox), Some(config)) = (links.get(order.link), self.machine.config()) else {
+            self.machine.ended(order.grant, CallResult::TooLate, 0, now);
+            return;
+        };
+        let customer = config.customer(order.customer);
+        let kind = config.kind(order.kind);
+        let service = config.service(&self.service);
+        let (Some(customer), Some(kind), Some(service)) = (customer, kind, service) else {
+            self.machine.ended(order.grant, CallResult::TooLate, 0, now);
+            return;
+        };
+        let call = CallOrder {
+            customer: customer.name.clone(),
+            kind: kind.name.clone(),
+            protocol: service.protocol,
+            outbox: outbox.clone(),
+            order,
+        };
+        let _ = self.orders.send(EndpointOrder::Call(Box::new(call)));
+    }
+}
+
+impl HubRole for SidecarRole {
+    type Input = SidecarInput;
+
+    fn link_up(&mut self, link: LinkId, hello: &Hello, dialled: bool, now: ClockTime) {
+        let Ok(host) = hello.host.parse() else {
+            return;
+        };
+        if hello.service.is_empty() {
+            self.machine.router_up(link, host, now);
+        } else if hello.service == self.service.as_str() && host != self.host {
+            let incarnation = Incarnation::new(hello.incarnation);
+            self.machine.peer_up(link, host, incarnation, dialled);
+        }
+    }
+
+    fn link_down(&mut self, link: LinkId, now: ClockTime) {
+        self.machine.link_down(link, now);
+    }
+
+    fn receive(&mut self, link: LinkId, message: PeerMessage, now: ClockTime) {
+        let wall = self.clock.wall_at(now);
+        self.machine.receive(link, message, now, wall);
+    }
+
+    fn input(&mut self, input: SidecarInput, now: ClockTime) {
+        match input {
+            SidecarInput::Progress(grant, cost) => self.machine.progress(grant, cost),
+            SidecarInput::Ended(grant, result, cost) => {
+                self.machine.ended(grant, result, cost, now);
+            }
+        }
+    }
+
+    fn set_config(&mut self, config: &Arc<FleetConfig>) {
+        self.machine
+            .set_config(Arc::clone(config), self.clock.wall());
+    }
+
+    fn set_hosts(&mut self, hosts: &HostList, revision: Revision) {
+        self.machine.set_hosts(hosts, revision);
+    }
+
+    fn targets(&self, hosts: &HostList) -> Vec<SocketAddr> {
+        let peers = hosts
+            .sidecars(&self.service)
+            .filter(|peer| peer.name != self.host);
+        peers.map(|peer| peer.address).collect()
+    }
+
+    fn tick(&mut self, now: ClockTime) {
+        self.machine.tick(now, self.clock.wall_at(now));
+    }
+
+    fn next_wake(&self) -> ClockTime {
+        self.machine.next_wake()
+    }
+
+    fn act(&mut self, links: &mut LinkTable, now: ClockTime) {
+        let wall = self.clock.wall_at(now);
+        for action in self.machine.take_actions(now, wall) {
+            match action {
+                SidecarAction::Send { link, message } => links.send(link, message),
+                SidecarAction::Close(link) => links.close(link),
+                SidecarAction::Start(order) => self.start(*order, links, now),
+                SidecarAction::Abort(grant) => {
+                    let _ = self.orders.send(EndpointOrder::Abort(grant));
+                }
+                SidecarAction::Credit { grant, units } => {
+                    let _ = self.orders.send(EndpointOrder::Credit(grant, units));
+                }
+            }
+        }
+    }
+
+    fn stop(&mut self) {
+        self.machine.stop();
+    }
+
+    fn is_idle(&self) -> bool {
+        self.machine.is_idle()
+    }
+
+    fn status(&self, now: ClockTime) -> Value {
+        let report = self.machine.report(now);
+        let config = self.machine.config();
+        let customer = |id| {
+            let known = config.and_then(|config| config.customer(id));
+            known.map_or_else(|| id.to_string(), |customer| customer.name.to_string())
+        };
+        let kind = |id| {
+            let known = config.and_then(|config| config.kind(id));
+            known.map_or_else(|| id.to_string(), |kind| kind.name.to_string())
+        };
+        let queues = report.waiting.iter().map(|(owner, sort, count)| {
+            json!({ "customer": customer(*owner), "kind": kind(*sort), "waiting": count })
+        });
+        let totals = report.totals.iter().filter(|(_, total)| *total != 0);
+        let totals = totals.map(|(owner, total)| (customer(*owner), Value::from(*total)));
+        json!({
+            "name": "sidecar",
+            "service": self.service.as_str(),
+            "incarnation": self.incarnation.get(),
+            "running": report.running,
+            "staged": report.staged,
+            "offered": report.offered,
+            "queues": queues.collect::<Vec<_>>(),
+            "totals": totals.collect::<serde_json::Map<_, _>>(),
+            "is_leaving": report.is_leaving,
+            "is_failing": report.is_failing,
+            "keys": report.keys,
+            "missing_words": report.missing_words.iter().map(HostName::as_str).collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/metrics/reporter.rs
@@ -0,0 +1,64 @@
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use cadence::{Counted, StatsdClient, UdpMetricSink};
+
+use super::{Metric, ProcessMetrics};
+
+/// Time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The thread that sends counters to a statsd target.
+#[derive(Debug)]
+pub struct MetricsReporter {
+    stop: flume::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl MetricsReporter {
+    /// Starts the thread; counters are named `cicadalock.ROLE.NAME`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no local UDP port can be had.
+    pub fn start(
+        role: &str,
+        target: SocketAddr,
+        metrics: Arc<ProcessMetrics>,
+    ) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+        let sink = UdpMetricSink::from(target, socket).map_err(std::io::Error::other)?;
+        let client = StatsdClient::from_sink(&format!("cicadalock.{role}"), sink);
+        let (stop, stopped) = flume::bounded(1);
+        let thread = std::thread::Builder::new()
+            .name("metrics".into())
+            .spawn(move || report(&client, &metrics, &stopped))?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Sends a last report and ends the thread.
+    pub fn join(self) {
+        drop(self.stop);
+        let _ = self.thread.join();
+    }
+}
+
+fn report(client: &StatsdClient, metrics: &ProcessMetrics, stopped: &flume::Receiver<()>) {
+    let mut told = vec![0; Metric::ALL.len()];
+    loop {
+        let ended =
+            stopped.recv_timeout(REPORT_INTERVAL) == Err(flume::RecvTimeoutError::Disconnected);
+        for (metric, last) in Metric::ALL.iter().zip(&mut told) {
+            let value = metrics.get(*metric);
+            if value != *last {
+                let _ = client.count(metric.name(), value.wrapping_sub(*last) as i64);
+                *last = value;
+            }
+        }
+        if ended {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/settings/text_field.rs
@@ -0,0 +1,14 @@
+use std::fmt::Display;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer};
+
+/// Reads a field through its `FromStr`.
+pub(super) fn parse<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+where
+    T: FromStr<Err: Display>,
+    D: Deserializer<'de>,
+{
+    let text = String::deserialize(deserializer)?;
+    text.parse().map_err(serde::de::Error::custom)
+}
--- /dev/null
+++ b/crates/cicadalock/src/main.rs
@@ -0,0 +1,7 @@
+//! The `cicadalock` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cicadalock_node::cli::main()
+}
--- /dev/null
+++ b/crates/trial/src/cli/flags.rs
@@ -0,0 +1,50 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Experiments with real processes on the loopback, and the stand-ins they need.
+    cmd trial {
+        /// Run an experiment.
+        default cmd run {
+            /// Name of the experiment; `--list` prints the names.
+            optional --scenario scenario: String
+            /// How long the load lasts, in seconds.
+            optional --seconds seconds: u64
+            /// Seed of costs, arrivals and choices of routers.
+            optional --seed seed: u64
+            /// How customers are chosen: fleet, sidecar, router or push; `all` runs each.
+            optional --policy policy: String
+            /// Write the measures to a file as JSON.
+            optional --json json: PathBuf
+            /// Draw the measures into an SVG file.
+            optional --plot plot: PathBuf
+            /// The product's binary; without it the trial binary runs the same code.
+            optional --binary binary: PathBuf
+            /// Print the names of all experiments.
+            optional --list
+        }
+        /// Run a stand-in platform.
+        cmd platform {
+            /// Where to listen.
+            required --listen listen: SocketAddr
+        }
+        /// Run a stand-in model engine.
+        cmd engine {
+            /// Where to listen.
+            required --listen listen: SocketAddr
+            /// Requests in a batch.
+            required --batch batch: u32
+            /// Time of a token, such as `20ms`.
+            required --token token: String
+        }
+        /// Run a stand-in plain service.
+        cmd service {
+            /// Where to listen.
+            required --listen listen: SocketAddr
+            /// Time of a call, such as `20ms`.
+            required --busy busy: String
+            /// Refuse calls with an old fence number.
+            optional --check-fence
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/cli/mod.rs
@@ -0,0 +1,6 @@
+//! The command line of the trial binary.
+
+mod flags;
+mod run;
+
+pub use run::main;
--- /dev/null
+++ b/crates/trial/src/cli/run.rs
@@ -0,0 +1,129 @@
+use std::process::ExitCode;
+use std::time::Duration;
+
+use super::flags::{Run, Trial, TrialCmd};
+use crate::report::{TrialReport, draw_report};
+use crate::scenario::{SCENARIOS, ScenarioOptions, find_scenario, run_scenario};
+use crate::standin::{EngineOptions, ServiceOptions, run_engine, run_platform, run_service};
+
+/// Experiment that runs without further arguments.
+const DEFAULT_SCENARIO: &str = "quick";
+
+/// Length of the load without further arguments, in seconds.
+const DEFAULT_SECONDS: u64 = 10;
+
+const POLICIES: [&str; 4] = ["fleet", "sidecar", "router", "push"];
+
+/// Runs the command line of this process.
+#[must_use]
+pub fn main() -> ExitCode {
+    let arguments: Vec<std::ffi::OsString> = std::env::args_os().skip(1).collect();
+    if arguments.first().is_some_and(|first| first == "cicadalock") {
+        let status = cicadalock_node::cli::run_command(arguments.into_iter().skip(1));
+        return ExitCode::from(status.code());
+    }
+    let flags = Trial::from_vec(arguments).unwrap_or_else(|error| error.exit());
+    let result = match flags.subcommand {
+        TrialCmd::Run(flags) => run(&flags),
+        TrialCmd::Platform(flags) => run_platform(flags.listen),
+        TrialCmd::Engine(flags) => parse_span(&flags.token).and_then(|token| {
+            run_engine(EngineOptions {
+                listen: flags.listen,
+                batch: flags.batch,
+                token,
+            })
+        }),
+        TrialCmd::Service(flags) => parse_span(&flags.busy).and_then(|busy| {
+            run_service(ServiceOptions {
+                listen: flags.listen,
+                busy,
+                checks_fence: flags.check_fence,
+            })
+        }),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &Run) -> std::io::Result<()> {
+    if flags.list {
+        for entry in SCENARIOS {
+            println!("{:<14} {}", entry.name, entry.about);
+        }
+        return Ok(());
+    }
+    let name = flags.scenario.as_deref().unwrap_or(DEFAULT_SCENARIO);
+    let entry = find_scenario(name)
+        .ok_or_else(|| std::io::Error::other(format!("no experiment is called `{name}`")))?;
+    let policy = flags.policy.as_deref().unwrap_or(POLICIES[0]);
+    let policies: Vec<&str> = if policy == "all" {
+        POLICIES.to_vec()
+    } else {
+        vec![policy]
+    };
+    let mut reports = Vec::new();
+    for policy in policies {
+        let options = ScenarioOptions {
+            length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+            seed: flags.seed.unwrap_or(1),
+            policy: policy.to_owned(),
+            program: std::env::current_exe()?,
+            binary: flags.binary.clone(),
+        };
+        let report = run_scenario(entry, &options)?;
+        println!("{report}");
+        reports.push(report);
+    }
+    if reports.len() > 1 {
+        print_comparison(&reports);
+    }
+    if let Some(path) = &flags.json {
+        let text = serde_json::to_string_pretty(&reports).map_err(std::io::Error::other)?;
+        std::fs::write(path, text)?;
+    }
+    if let (Some(path), Some(report)) = (&flags.plot, reports.first()) {
+        draw_report(report, path).map_err(|error| std::io::Error::other(error.to_string()))?;
+    }
+    Ok(())
+}
+
+/// One line for each policy.
+fn print_comparison(reports: &[TrialReport]) {
+    println!(
+        "{:<8} {:>10} {:>10} {:>8} {:>8} {:>11} {:>11} {:>9} {:>9}",
+        "policy",
+        "gap 1st",
+        "gap 2nd",
+        "share %",
+        "util %",
+        "small p50",
+        "small p99",
+        "kept %",
+        "ctl B/s"
+    );
+    for report in reports {
+        let gap = report.gap.unwrap_or_default();
+        let small = report.small_wait.unwrap_or(report.wait);
+        println!(
+            "{:<8} {:>10.0} {:>10.0} {:>8.1} {:>8.1} {:>11.1} {:>11.1} {:>9.1} {:>9.0}",
+            report.policy,
+            gap.0,
+            gap.1,
+            report.share_error_percent.unwrap_or_default(),
+            report.utilisation_percent,
+            small.first_p50,
+            small.first_p99,
+            report.least_kept_percent.unwrap_or_default(),
+            report.control_bytes.0
+        );
+    }
+}
+
+fn parse_span(text: &str) -> std::io::Result<Duration> {
+    humantime::parse_duration(text).map_err(std::io::Error::other)
+}
--- /dev/null
+++ b/crates/trial/src/fleet/builder.rs
@@ -0,0 +1,268 @@
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use cicadalock_core::config::{ConfigRelease, ConfigText, TokenDigest};
+
+use super::client::put_text;
+use super::running::{EndpointHandle, RouterHandle, RunningFleet, SidecarHandle};
+use crate::proxy::FaultProxy;
+
+/// Longest time for a fleet to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
+/// One service of an experiment.
+#[derive(Debug, Clone)]
+pub struct ServicePlan {
+    /// Name of the service.
+    pub name: String,
+    /// Whether it is a model with completions, else a plain service.
+    pub is_model: bool,
+    /// Number of endpoints.
+    pub replicas: usize,
+    /// Requests that one endpoint works on at a time.
+    pub slots: u32,
+    /// Time of a token, or of a plain call.
+    pub pace: Duration,
+}
+
+/// Collects what a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetBuilder {
+    pub(super) program: PathBuf,
+    pub(super) binary: Option<PathBuf>,
+    pub(super) routers: usize,
+    pub(super) zones: Vec<String>,
+    pub(super) services: Vec<ServicePlan>,
+    pub(super) kinds: Vec<String>,
+    pub(super) customers: Vec<(String, u32)>,
+    pub(super) limits: String,
+    pub(super) has_proxies: bool,
+    pub(super) checks_fence: bool,
+    pub(super) traces: Option<SocketAddr>,
+}
+
+impl FleetBuilder {
+    /// Creates a builder; `program` is the trial binary, which also runs the stand-ins.
+    #[must_use]
+    pub fn new(program: PathBuf) -> Self {
+        Self {
+            program,
+            binary: None,
+            routers: 1,
+            zones: vec!["a".into()],
+            services: Vec::new(),
+            kinds: Vec::new(),
+            customers: Vec::new(),
+            limits: String::new(),
+            has_proxies: false,
+            checks_fence: false,
+            traces: None,
+        }
+    }
+
+    /// Sets the product's binary; without it the trial binary runs the product's own code.
+    #[must_use]
+    pub fn binary(mut self, binary: Option<PathBuf>) -> Self {
+        self.binary = binary;
+        self
+    }
+
+    /// Sets the number of routers.
+    #[must_use]
+    pub const fn routers(mut self, count: usize) -> Self {
+        self.routers = count;
+        self
+    }
+
+    /// Sets the availability zones, over which processes are spread in turn.
+    #[must_use]
+    pub fn zones(mut self, zones: &[&str]) -> Self {
+        self.zones = zones.iter().map(ToString::to_string).collect();
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn service(mut self, service: ServicePlan) -> Self {
+        self.services.push(service);
+        self
+    }
+
+    /// Adds a kind of work, as TOML lines of its entry in the configuration.
+    #[must_use]
+    pub fn kind(mut self, lines: &str) -> Self {
+        self.kinds.push(lines.to_owned());
+        self
+    }
+
+    /// Adds a customer with its share; its token is `token-` and its name.
+    #[must_use]
+    pub fn customer(mut self, name: &str, share: u32) -> Self {
+        self.customers.push((name.to_owned(), share));
+        self
+    }
+
+    /// Sets the TOML lines of the limits.
+    #[must_use]
+    pub fn limits(mut self, lines: &str) -> Self {
+        self.limits = lines.to_owned();
+        self
+    }
+
+    /// Puts a fault-injecting proxy before every sidecar.
+    #[must_use]
+    pub const fn proxies(mut self) -> Self {
+        self.has_proxies = true;
+        self
+    }
+
+    /// Lets plain services refuse old fence numbers.
+    #[must_use]
+    pub const fn checked_fences(mut self) -> Self {
+        self.checks_fence = true;
+        self
+    }
+
+    /// Sets where spans go.
+    #[must_use]
+    pub const fn traces(mut self, target: SocketAddr) -> Self {
+        self.traces = Some(target);
+        self
+    }
+
+    /// The base configuration.
+    #[must_use]
+    pub fn config_text(&self) -> String {
+        let mut text = String::new();
+        if !self.limits.is_empty() {
+            let _ = writeln!(text, "[limits]\n{}", self.limits);
+        }
+        for service in &self.services {
+            let protocol = if service.is_model {
+                "completions"
+            } else {
+                "plain"
+            };
+            let (name, slots) = (&service.name, service.slots);
+            let _ = writeln!(
+                text,
+                "[[services]]\nname = \"{name}\"\nprotocol = \"{protocol}\"\nslots = {slots}"
+            );
+        }
+        for kind in &self.kinds {
+            let _ = writeln!(text, "[[kinds]]\n{kind}");
+        }
+        for (name, share) in &self.customers {
+            let digest = TokenDigest::of(&format!("token-{name}"));
+            let _ = writeln!(
+                text,
+                "[[customers]]\nname = \"{name}\"\nshare = {share}\ntoken_sha256 = \"{digest}\""
+            );
+        }
+        text
+    }
+
+    /// Starts every process and waits until the routers see their sidecars.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or the fleet is not ready in time.
+    pub fn start(self) -> std::io::Result<RunningFleet> {
+        let folder = tempfile::tempdir()?;
+        let key_file = folder.path().join("fleet.key");
+        std::fs::write(&key_file, "a secret of the experiment's fleet\n")?;
+        let platform = free_address()?;
+        let mut fleet = RunningFleet::new(self, folder, platform)?;
+        fleet.start_platform()?;
+        wait_until(|| put_text(platform, "/mode", "up").is_some())?;
+        let text = fleet.plan().config_text();
+        let release = ConfigRelease::new(ConfigText::new("base", &text)).publish_text();
+        fleet.publish_config(&release);
+        fleet.place_processes()?;
+        fleet.publish_hosts();
+        fleet.start_all()?;
+        wait_until(|| fleet.is_ready())?;
+        Ok(fleet)
+    }
+
+    pub(super) fn place(
+        &self,
+    ) -> std::io::Result<(Vec<EndpointHandle>, Vec<SidecarHandle>, Vec<RouterHandle>)> {
+        let mut endpoints = Vec::new();
+        let mut sidecars = Vec::new();
+        for service in &self.services {
+            for index in 0..service.replicas {
+                let name = format!("{}-{index}", service.name);
+                let address = free_address()?;
+                endpoints.push(EndpointHandle {
+                    name: name.clone(),
+                    plan: service.clone(),
+                    address,
+                    child: None,
+                });
+                let listen = free_address()?;
+                let proxy = if self.has_proxies {
+                    Some(FaultProxy::start(listen)?)
+                } else {
+                    None
+                };
+                sidecars.push(SidecarHandle {
+                    name,
+                    service: service.name.clone(),
+                    zone: self.zones[index % self.zones.len()].clone(),
+                    listen,
+                    admin: free_address()?,
+                    endpoint: address,
+                    proxy,
+                    child: None,
+                    state: "live",
+                });
+            }
+        }
+        let mut routers = Vec::new();
+        for index in 0..self.routers {
+            routers.push(RouterHandle {
+                name: format!("router-{index}"),
+                zone: self.zones[index % self.zones.len()].clone(),
+                callers: free_address()?,
+                admin: free_address()?,
+                child: None,
+            });
+        }
+        Ok((endpoints, sidecars, routers))
+    }
+
+    /// Names of the services.
+    #[must_use]
+    pub fn service_names(&self) -> Vec<String> {
+        self.services
+            .iter()
+            .map(|service| service.name.clone())
+            .collect()
+    }
+
+    /// The service called `name`.
+    #[must_use]
+    pub fn find_service(&self, name: &str) -> Option<&ServicePlan> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// Waits until `condition` holds.
+fn wait_until(mut condition: impl FnMut() -> bool) -> std::io::Result<()> {
+    let deadline = Instant::now() + READY_LIMIT;
+    while Instant::now() < deadline {
+        if condition() {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Err(std::io::Error::other("the fleet is not ready in time"))
+}
+
+/// An address of the loopback that nobody uses now.
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
--- /dev/null
+++ b/crates/trial/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! Starts and stops the processes of an experiment, each a process of its own on the loopback.
+
+mod builder;
+mod child;
+mod client;
+mod running;
+
+pub use builder::{FleetBuilder, ServicePlan};
+pub use child::ChildGuard;
+pub use client::{get_json, put_text};
+pub use running::{EndpointHandle, RouterHandle, RunningFleet, SidecarHandle};
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,1 +1,18 @@
-//! x
+//! Stand-ins for the outside world, and experiments with real processes. This crate does not ship.
+//!
+//! | module | what it is for |
+//! |---|---|
+//! | [`standin`] | small stand-ins for the platform, model engines and plain services |
+//! | [`proxy`] | a TCP proxy that injects faults |
+//! | [`fleet`] | starts and stops the processes of an experiment |
+//! | [`load`] | callers |
+//! | [`scenario`] | experiments by name |
+//! | [`report`] | measures, tables and plots |
+
+pub mod cli;
+pub mod fleet;
+pub mod load;
+pub mod proxy;
+pub mod report;
+pub mod scenario;
+pub mod standin;
--- /dev/null
+++ b/crates/trial/src/load/call.rs
@@ -0,0 +1,164 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Longest wait for a whole answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(180);
+
+/// One request of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallPlan {
+    /// Path of the request.
+    pub path: String,
+    /// Token of the customer.
+    pub token: String,
+    /// Body.
+    pub body: String,
+    /// Further header fields.
+    pub headers: Vec<(String, String)>,
+}
+
+/// What a caller knows of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallVerdict {
+    /// It has a whole answer.
+    Complete,
+    /// It was told that the request did not run.
+    NotRun,
+    /// It was told that the request may have run.
+    Unknown,
+    /// The answer broke off visibly.
+    Broken,
+    /// The connection failed before an answer.
+    Unreachable,
+}
+
+/// An answer as a caller saw it.
+#[derive(Debug, Clone)]
+pub struct CallAnswer {
+    /// What the caller knows.
+    pub verdict: CallVerdict,
+    /// HTTP status; zero without an answer.
+    pub status: u16,
+    /// Body as far as it came.
+    pub body: Vec<u8>,
+    /// Time to the first byte of the body.
+    pub first_byte: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// Greatest time between two parts of the body.
+    pub greatest_gap: Duration,
+    /// Header `Cicadalock-Outcome`.
+    pub outcome: String,
+}
+
+/// Sends one request, over `connection` if that is still good, and reads the whole answer.
+pub async fn call(
+    router: SocketAddr,
+    connection: &mut Option<SendRequest<Full<Bytes>>>,
+    plan: &CallPlan,
+) -> CallAnswer {
+    let started = Instant::now();
+    let mut answer = CallAnswer {
+        verdict: CallVerdict::Unreachable,
+        status: 0,
+        body: Vec::new(),
+        first_byte: None,
+        total: Duration::ZERO,
+        greatest_gap: Duration::ZERO,
+        outcome: String::new(),
+    };
+    let exchange = exchange(router, connection, plan, started, &mut answer);
+    let is_whole = tokio::time::timeout(ANSWER_LIMIT, exchange)
+        .await
+        .ok()
+        .flatten()
+        .is_some();
+    if !is_whole {
+        *connection = None;
+    }
+    answer.total = started.elapsed();
+    answer.verdict = match (is_whole, answer.status, answer.outcome.as_str()) {
+        (false, 0, _) => CallVerdict::Unreachable,
+        (false, _, _) => CallVerdict::Broken,
+        (true, _, "complete") => CallVerdict::Complete,
+        (true, _, "not-run") => CallVerdict::NotRun,
+        (true, _, _) => CallVerdict::Unknown,
+    };
+    answer
+}
+
+async fn exchange(
+    router: SocketAddr,
+    connection: &mut Option<SendRequest<Full<Bytes>>>,
+    plan: &CallPlan,
+    started: Instant,
+    answer: &mut CallAnswer,
+) -> Option<()> {
+    let is_usable = connection
+        .as_ref()
+        .is_some_and(|sender| !sender.is_closed());
+    if !is_usable {
+        *connection = Some(connect(router).await?);
+    }
+    let sender = connection.as_mut()?;
+    sender.ready().await.ok()?;
+    let response = sender.send_request(build(router, plan)).await.ok()?;
+    answer.status = response.status().as_u16();
+    let outcome = response.headers().get("cicadalock-outcome");
+    answer.outcome = outcome
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+        .to_owned();
+    let mut body = response.into_body();
+    let mut last = Instant::now();
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if answer.first_byte.is_none() {
+            answer.first_byte = Some(started.elapsed());
+        } else {
+            answer.greatest_gap = answer.greatest_gap.max(last.elapsed());
+        }
+        last = Instant::now();
+        answer.body.extend_from_slice(&bytes);
+    }
+    Some(())
+}
+
+async fn connect(router: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(router).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    let (sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    Some(sender)
+}
+
+fn build(router: SocketAddr, plan: &CallPlan) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(plan.body.clone())));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = plan.path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let mut put = |name: &str, value: &str| {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), value.parse::<HeaderValue>()) {
+            headers.insert(name, value);
+        }
+    };
+    put(HOST.as_str(), &router.to_string());
+    put(AUTHORIZATION.as_str(), &format!("Bearer {}", plan.token));
+    put(CONTENT_TYPE.as_str(), "application/json");
+    for (name, value) in &plan.headers {
+        put(name, value);
+    }
+    request
+}
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,7 @@
+//! The `trial` binary: experiments, stand-ins, and the product's own command line.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    trial::cli::main()
+}
