feat(core): break ties differently at each sidecar, tell fewer bids

Cause: at the start of a load every sidecar picked the same customers, by their ids; and bids that flipped between one and two were told to every sidecar (911 bid messages a second). Conclusion: kept; views are now exchanged only where a service has kinds that need them.

--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::peers::PeerLine;
 use super::{BidBook, CostEstimates, PeerReport, PeerTotals, TotalEntry};
 use crate::collect::SortedMap;
@@ -389,10 +391,20 @@
         self.bids
             .customers()
             .filter_map(|customer| Some((customer, self.position(customer)?)))
-            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .min_by(|left, right| {
+                let order = left.1.total_cmp(&right.1);
+                order.then_with(|| self.tie_rank(left.0).cmp(&self.tie_rank(right.0)))
+            })
             .map(|(customer, _)| customer)
     }
 
+    /// Order of customers at equal positions, which differs between sidecars.
+    ///
+    /// Without it every sidecar of a service would serve the same customers first.
+    fn tie_rank(&self, customer: CustomerId) -> u64 {
+        xxh3_64_with_seed(&customer.get().to_le_bytes(), self.incarnation.get())
+    }
+
     fn least_kind(&self, customer: CustomerId) -> Option<KindId> {
         let account = self.accounts.get(&customer)?;
         let position = |kind: &KindId| account.kinds.get(kind).map_or(0.0, |kind| kind.position);
--- a/crates/cicadalock-core/src/router/bid_planner.rs
+++ b/crates/cicadalock-core/src/router/bid_planner.rs
@@ -57,12 +57,16 @@
     }
 }
 
+/// A belief that is wrong by less than this factor is left to the next grant, whose answer carries
+/// the truth.
+const STALE_FACTOR: u32 = 8;
+
 /// Tells whether a sidecar's belief differs from the truth by enough to correct it.
 ///
-/// A belief is corrected between none and some, and when it is wrong by a factor of two.
+/// A belief is corrected between none and some, and when it is wrong by a large factor.
 pub(super) const fn is_stale(told: u32, count: u32) -> bool {
     if told == 0 || count == 0 {
         return told != count;
     }
-    count >= told * 2 || count * 2 <= told
+    count >= told.saturating_mul(STALE_FACTOR) || count.saturating_mul(STALE_FACTOR) <= told
 }
--- a/crates/cicadalock-core/src/sidecar/exchange.rs
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -38,14 +38,19 @@
         let Some(config) = &self.config else {
             return;
         };
-        if now.since(self.exchanged) >= config.limits().exchange_interval {
-            self.exchanged = now;
-            self.send_totals();
-        }
-        if now.since(self.told_view) >= VIEW_INTERVAL && !self.is_leaving() {
+        let is_due = now.since(self.exchanged) >= config.limits().exchange_interval;
+        let has_keys = config
+            .kinds()
+            .iter()
+            .any(|kind| kind.service == self.service && !kind.idempotent);
+        if has_keys && now.since(self.told_view) >= VIEW_INTERVAL && !self.is_leaving() {
             self.told_view = now;
             self.send_views(now);
         }
+        if is_due {
+            self.exchanged = now;
+            self.send_totals();
+        }
     }
 
     fn send_totals(&mut self) {
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -6,6 +6,7 @@
 use super::builder::SidecarBuilder;
 use super::grant::{GrantPhase, OpenGrant};
 use super::keyed::ClaimedKey;
+use super::work::own_grant;
 use crate::collect::SortedMap;
 use crate::config::{FleetConfig, ServiceConfig, SharingPolicy};
 use crate::fair::GrantScheduler;
@@ -333,7 +334,7 @@
                 self.release_claim(link, RequestId::new(release.request));
             }
             PeerMessage::Credit(credit) => self.actions.push(SidecarAction::Credit {
-                grant: GrantId::new(credit.grant),
+                grant: own_grant(link, credit.grant),
                 units: credit.units,
             }),
             _ => {}
@@ -362,7 +363,7 @@
     }
 
     fn cancelled(&mut self, link: LinkId, cancel: &CancelWork) {
-        let id = GrantId::new(cancel.grant);
+        let id = own_grant(link, cancel.grant);
         let Some(grant) = self.grants.get(&id).filter(|grant| grant.link == link) else {
             return;
         };
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -13,6 +13,9 @@
 /// Requests that a pushing router may leave here beyond the free slots.
 const PUSHED_LIMIT: usize = 10_000;
 
+/// Bits of a pushed grant's number below those that its link changes.
+const PUSH_LINK_SHIFT: u32 = 40;
+
 /// HTTP statuses from here on tell of a failing endpoint.
 const FIRST_FAILURE_STATUS: u16 = 500;
 
@@ -48,8 +51,7 @@
     }
 
     fn take_pushed(&mut self, link: LinkId, request: HandOver, now: ClockTime) {
-        // Routers count their grants separately, so the link makes the number unique.
-        let id = GrantId::new(request.grant ^ (link.get() << 40));
+        let id = own_grant(link, request.grant);
         if self.is_leaving() || self.staged.len() >= PUSHED_LIMIT {
             self.refuse(link, GrantId::new(request.grant), refusal_reason::LEAVING);
             return;
@@ -225,20 +227,15 @@
         };
         self.scheduler
             .charge(grant.customer, grant.kind, cost - grant.charged);
-        let number = GrantId::new(match id.get() & PUSH_GRANT_BIT {
-            0 => id.get(),
-            _ => id.get() ^ (grant.link.get() << 40),
-        });
+        let number = own_grant(grant.link, id.get());
         let key = grant.key().cloned();
         match result {
             CallResult::NotReached => {
                 self.backoff.fail(now);
                 self.not_run(&grant, key.as_ref(), number, refusal_reason::ENDPOINT_DOWN);
-                return;
             }
             CallResult::TooLate => {
                 self.not_run(&grant, key.as_ref(), number, refusal_reason::LEASE_EXPIRED);
-                return;
             }
             CallResult::Complete { status, kept } => {
                 self.scheduler.observe(grant.customer, grant.kind, cost);
@@ -297,3 +294,13 @@
         }
     }
 }
+
+/// The number of a grant in this sidecar, or back at its router.
+///
+/// Pushing routers count their grants separately, so the link makes those numbers unique.
+pub(super) const fn own_grant(link: LinkId, number: u64) -> GrantId {
+    match number & PUSH_GRANT_BIT {
+        0 => GrantId::new(number),
+        _ => GrantId::new(number ^ (link.get() << PUSH_LINK_SHIFT)),
+    }
+}
--- a/crates/trial/src/fleet/builder.rs
+++ b/crates/trial/src/fleet/builder.rs
@@ -1,6 +1,7 @@
 use std::fmt::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use cicadalock_core::config::{ConfigRelease, ConfigText, TokenDigest};
@@ -12,6 +13,10 @@
 /// Longest time for a fleet to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
+/// First and last port of the processes of experiments.
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+
 /// One service of an experiment.
 #[derive(Debug, Clone)]
 pub struct ServicePlan {
@@ -263,6 +268,19 @@
 }
 
 /// An address of the loopback that nobody uses now.
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+///
+/// Ports are taken from below the range of outgoing connections, so that none of those takes the
+/// port before its process does.
+pub(super) fn free_address() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = u32::from(LAST_PORT - FIRST_PORT);
+    let start = std::process::id().wrapping_mul(211);
+    for _ in 0..span {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (start.wrapping_add(step) % span) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(std::io::Error::other("no port is free"))
 }
