--- /dev/null
+++ b/crates/cicadalock-core/tests/fleet_outcomes.rs
@@ -0,0 +1,690 @@
+//! Routers and sidecars together, over random losses, cuts, freezes and restarts.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use cicadalock_core::config::FleetConfig;
+use cicadalock_core::id::{GrantId, HostName, Incarnation, LinkId, RequestId, Revision, ServiceName};
+use cicadalock_core::member::HostList;
+use cicadalock_core::message::{AnswerChunk, AnswerEnd, AnswerHead, PeerMessage, end_state};
+use cicadalock_core::outcome::{RequestOutcome, StoredAnswer};
+use cicadalock_core::router::{CallerEvent, CallerRequest, RouterAction, RouterMachine};
+use cicadalock_core::sidecar::{CallResult, RunOrder, SidecarAction, SidecarMachine};
+use cicadalock_core::time::{ClockTime, WallTime};
+use proptest::prelude::*;
+use support::{desk_config, key_at, seeded};
+
+const ROUTERS: usize = 2;
+const SIDECARS: usize = 2;
+const START_MS: u64 = 1_000_000;
+
+/// What one step of a random history does.
+#[derive(Debug, Clone)]
+enum Step {
+    /// A caller sends a request without a key; it may or may not run twice.
+    Call { router: usize, idempotent: bool },
+    /// A caller sends a keyed request, perhaps for the second time.
+    CallKeyed { router: usize, key: usize },
+    /// A caller mints a key.
+    Mint,
+    /// A caller goes away.
+    Leave { nth: usize },
+    /// The next frames of a connection arrive.
+    Deliver { link: usize, forward: bool, count: usize },
+    /// A connection is cut; frames under way are lost.
+    Cut { link: usize },
+    /// One end of a cut connection notices.
+    Notice { link: usize, router_end: bool },
+    /// A call that was ordered begins at the endpoint.
+    Begin { sidecar: usize },
+    /// A call ends.
+    End { sidecar: usize, result: usize },
+    /// A process stops to run, or goes on.
+    Freeze { process: usize, frozen: bool },
+    /// A process is killed and starts with an empty memory.
+    Restart { process: usize },
+    /// A sidecar is told to stop.
+    Stop { sidecar: usize },
+    /// Time passes.
+    Pass { millis: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let link = 0..(ROUTERS * SIDECARS + 1);
+    prop_oneof![
+        6 => (0..ROUTERS, any::<bool>()).prop_map(|(router, idempotent)| Step::Call { router, idempotent }),
+        6 => (0..ROUTERS, 0..6_usize).prop_map(|(router, key)| Step::CallKeyed { router, key }),
+        2 => Just(Step::Mint),
+        1 => (0..20_usize).prop_map(|nth| Step::Leave { nth }),
+        40 => (link.clone(), any::<bool>(), 1..12_usize)
+            .prop_map(|(link, forward, count)| Step::Deliver { link, forward, count }),
+        1 => link.clone().prop_map(|link| Step::Cut { link }),
+        4 => (link, any::<bool>()).prop_map(|(link, router_end)| Step::Notice { link, router_end }),
+        10 => (0..SIDECARS).prop_map(|sidecar| Step::Begin { sidecar }),
+        8 => (0..SIDECARS, 0..4_usize).prop_map(|(sidecar, result)| Step::End { sidecar, result }),
+        2 => (0..(ROUTERS + SIDECARS), any::<bool>())
+            .prop_map(|(process, frozen)| Step::Freeze { process, frozen }),
+        1 => (0..(ROUTERS + SIDECARS)).prop_map(|process| Step::Restart { process }),
+        20 => (1..400_u64).prop_map(|millis| Step::Pass { millis }),
+    ]
+}
+
+fn stopping_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        30 => step(),
+        1 => (0..SIDECARS).prop_map(|sidecar| Step::Stop { sidecar }),
+    ]
+}
+
+struct Router {
+    machine: RouterMachine,
+    frozen: bool,
+}
+
+struct Sidecar {
+    machine: SidecarMachine,
+    frozen: bool,
+    /// Calls that were ordered and have not reached the endpoint.
+    ordered: VecDeque<RunOrder>,
+    /// Calls that the endpoint has.
+    running: VecDeque<RunOrder>,
+    aborted: BTreeSet<GrantId>,
+}
+
+/// A connection between a router, or the first sidecar, and a sidecar.
+struct Link {
+    id: LinkId,
+    near_up: bool,
+    far_up: bool,
+    is_cut: bool,
+    forward: VecDeque<PeerMessage>,
+    backward: VecDeque<PeerMessage>,
+}
+
+/// A request as its caller sees it.
+#[derive(Debug, Default, Clone)]
+struct Caller {
+    body: String,
+    router: usize,
+    router_run: u64,
+    may_repeat: bool,
+    key: Option<usize>,
+    received: Vec<u8>,
+    last: Option<CallerEvent>,
+    is_gone: bool,
+}
+
+struct World {
+    config: Arc<FleetConfig>,
+    hosts: HostList,
+    routers: Vec<Router>,
+    router_runs: Vec<u64>,
+    sidecars: Vec<Sidecar>,
+    links: Vec<Link>,
+    next_link: u64,
+    next_request: u64,
+    now: u64,
+    callers: BTreeMap<u64, Caller>,
+    /// Effects at the endpoints: body and the request under which it ran.
+    effects: Vec<(String, u64)>,
+    keys: Vec<u64>,
+}
+
+impl World {
+    fn new() -> Self {
+        let hosts = r#"{"previous": 0, "hosts": [
+            {"name": "s0", "role": "sidecar", "service": "udlaan", "zone": "z", "address": "127.0.0.1:1", "state": "live"},
+            {"name": "s1", "role": "sidecar", "service": "udlaan", "zone": "z", "address": "127.0.0.1:2", "state": "live"}
+        ]}"#;
+        let mut world = Self {
+            config: desk_config(1),
+            hosts: HostList::parse(hosts).expect("a host list"),
+            routers: Vec::new(),
+            router_runs: vec![0; ROUTERS],
+            sidecars: Vec::new(),
+            links: Vec::new(),
+            next_link: 1,
+            next_request: 1,
+            now: START_MS,
+            callers: BTreeMap::new(),
+            effects: Vec::new(),
+            keys: Vec::new(),
+        };
+        for _ in 0..ROUTERS {
+            let router = world.new_router();
+            world.routers.push(router);
+        }
+        for index in 0..SIDECARS {
+            let sidecar = world.new_sidecar(index);
+            world.sidecars.push(sidecar);
+        }
+        for _ in 0..=ROUTERS * SIDECARS {
+            world.links.push(Link {
+                id: LinkId::new(0),
+                near_up: false,
+                far_up: false,
+                is_cut: true,
+                forward: VecDeque::new(),
+                backward: VecDeque::new(),
+            });
+        }
+        (0..world.links.len()).for_each(|link| world.connect(link));
+        for _ in 0..30 {
+            world.exchange_all();
+            world.pass(200);
+        }
+        for _ in 0..6 {
+            world.now += 1;
+            let now = world.now;
+            world.keys.push(now);
+        }
+        world
+    }
+
+    fn clock(&self) -> ClockTime {
+        ClockTime::from_millis(self.now)
+    }
+
+    fn wall(&self) -> WallTime {
+        WallTime::from_unix_millis(self.now)
+    }
+
+    fn new_router(&self) -> Router {
+        let mut machine = RouterMachine::new(self.now);
+        machine.set_config(Arc::clone(&self.config));
+        machine.set_hosts(self.hosts.clone());
+        Router { machine, frozen: false }
+    }
+
+    fn new_sidecar(&self, index: usize) -> Sidecar {
+        let mut machine = SidecarMachine::builder(sidecar_name(index), service())
+            .incarnation(Incarnation::from_start(self.now, index as u16))
+            .started(self.wall())
+            .build();
+        machine.set_config(Arc::clone(&self.config), self.wall());
+        machine.set_hosts(&self.hosts, Revision::new(1));
+        Sidecar {
+            machine,
+            frozen: false,
+            ordered: VecDeque::new(),
+            running: VecDeque::new(),
+            aborted: BTreeSet::new(),
+        }
+    }
+
+    /// The ends of a connection: a router if there is one, and the sidecars.
+    fn ends(link: usize) -> (Option<usize>, usize) {
+        if link == ROUTERS * SIDECARS { (None, 1) } else { (Some(link / SIDECARS), link % SIDECARS) }
+    }
+
+    fn connect(&mut self, link: usize) {
+        let (near, far) = Self::ends(link);
+        self.next_link += 1;
+        let id = LinkId::new(self.next_link);
+        let now = self.clock();
+        self.links[link] = Link {
+            id,
+            near_up: true,
+            far_up: true,
+            is_cut: false,
+            forward: VecDeque::new(),
+            backward: VecDeque::new(),
+        };
+        match near {
+            Some(router) => {
+                let leaving = self.sidecars[far].machine.is_leaving();
+                let machine = &mut self.routers[router].machine;
+                machine.link_up(id, sidecar_name(far), service(), leaving, now);
+                let name: HostName = format!("r{router}").parse().expect("a name");
+                self.sidecars[far].machine.router_up(id, name, now);
+            }
+            None => {
+                let incarnation = Incarnation::new(self.now);
+                self.sidecars[0].machine.peer_up(id, sidecar_name(1), incarnation, true);
+                self.sidecars[1].machine.peer_up(id, sidecar_name(0), incarnation, true);
+            }
+        }
+        self.act_all();
+    }
+
+    /// Carries out what the machines of all processes that run have to do.
+    fn act_all(&mut self) {
+        let (now, wall) = (self.clock(), self.wall());
+        for index in 0..ROUTERS {
+            if !self.routers[index].frozen {
+                let actions = self.routers[index].machine.take_actions(now);
+                actions.into_iter().for_each(|action| self.act_router(index, action));
+            }
+        }
+        for index in 0..SIDECARS {
+            if !self.sidecars[index].frozen {
+                let actions = self.sidecars[index].machine.take_actions(now, wall);
+                actions.into_iter().for_each(|action| self.act_sidecar(index, action));
+            }
+        }
+    }
+
+    fn act_router(&mut self, router: usize, action: RouterAction) {
+        match action {
+            RouterAction::Send { link, message } => {
+                if let Some(index) = self.find_link(link)
+                    && !self.links[index].is_cut
+                {
+                    self.links[index].forward.push_back(message);
+                }
+            }
+            RouterAction::Close(link) => {
+                if let Some(index) = self.find_link(link) {
+                    self.links[index].is_cut = true;
+                    self.links[index].near_up = false;
+                }
+            }
+            RouterAction::Answer { request, event } => self.tell(router, request, event),
+        }
+    }
+
+    fn act_sidecar(&mut self, sidecar: usize, action: SidecarAction) {
+        match action {
+            SidecarAction::Send { link, message } => self.send_back(sidecar, link, message),
+            SidecarAction::Close(link) => {
+                if let Some(index) = self.find_link(link) {
+                    self.links[index].is_cut = true;
+                    self.links[index].far_up = false;
+                }
+            }
+            SidecarAction::Start(order) => self.sidecars[sidecar].ordered.push_back(*order),
+            SidecarAction::Abort(grant) => {
+                self.sidecars[sidecar].aborted.insert(grant);
+            }
+            SidecarAction::Credit { .. } => {}
+        }
+    }
+
+    fn send_back(&mut self, sidecar: usize, link: LinkId, message: PeerMessage) {
+        let Some(index) = self.find_link(link).filter(|index| !self.links[*index].is_cut) else {
+            return;
+        };
+        let is_forward = Self::ends(index).0.is_none() && sidecar == 0;
+        let link = &mut self.links[index];
+        if is_forward { link.forward.push_back(message) } else { link.backward.push_back(message) }
+    }
+
+    fn find_link(&self, id: LinkId) -> Option<usize> {
+        self.links.iter().position(|link| link.id == id)
+    }
+
+    fn tell(&mut self, router: usize, request: RequestId, event: CallerEvent) {
+        let effects = &self.effects;
+        let Some(caller) = self.callers.get_mut(&request.get()) else {
+            return;
+        };
+        if caller.router != router || caller.is_gone {
+            return;
+        }
+        assert!(caller.last.is_none(), "an event after the last one: {event:?}");
+        if let CallerEvent::Chunk(bytes) = &event {
+            caller.received.extend(bytes);
+        }
+        if let CallerEvent::Fail(failure) = &event
+            && failure.outcome == RequestOutcome::NotRun
+        {
+            let ran = effects.iter().any(|(body, by)| {
+                *body == caller.body && (caller.key.is_some() || *by == request.get())
+            });
+            // Another body under a used key is refused without a word on the first.
+            assert!(!ran, "told not run, but it ran: {caller:?}");
+        }
+        if event == CallerEvent::Complete {
+            let whole = format!("done {}", caller.body);
+            assert_eq!(String::from_utf8_lossy(&caller.received), whole, "a foreign answer");
+        }
+        if event.is_last() {
+            caller.last = Some(event);
+        }
+    }
+
+    fn take(&mut self, step: &Step) {
+        match *step {
+            Step::Call { router, idempotent } => self.call(router, None, idempotent),
+            Step::CallKeyed { router, key } => self.call(router, Some(key), false),
+            Step::Mint => self.keys.push(self.now),
+            Step::Leave { nth } => self.leave(nth),
+            Step::Deliver { link, forward, count } => {
+                (0..count).for_each(|_| self.deliver(link, forward));
+            }
+            Step::Cut { link } => self.cut(link),
+            Step::Notice { link, router_end } => self.notice(link, router_end),
+            Step::Begin { sidecar } => self.begin(sidecar),
+            Step::End { sidecar, result } => self.end(sidecar, result),
+            Step::Freeze { process, frozen } => self.freeze(process, frozen),
+            Step::Restart { process } => self.restart(process),
+            Step::Stop { sidecar } => self.sidecars[sidecar].machine.stop(),
+            Step::Pass { millis } => self.pass(millis),
+        }
+        self.act_all();
+    }
+
+    fn call(&mut self, router: usize, key: Option<usize>, idempotent: bool) {
+        if self.routers[router].frozen {
+            return;
+        }
+        // Callers use the newest keys.
+        let key = key.map(|key| self.keys.len() - 1 - key);
+        let number = self.next_request;
+        self.next_request += 1;
+        let body = key.map_or_else(|| format!("request-{number}"), |key| format!("key-{key}"));
+        let name = if idempotent { "lookup" } else { "booking" };
+        let kind = self.config.kinds().iter().find(|kind| kind.name.as_str() == name);
+        let call = CallerRequest::builder(&self.config.customers()[0], kind.expect("a kind"))
+            .body(body.clone().into_bytes())
+            .key(key.map(|key| key_at(self.keys[key], key as u16)))
+            .build();
+        self.callers.insert(number, Caller {
+            body,
+            router,
+            router_run: self.router_runs[router],
+            may_repeat: idempotent,
+            key,
+            ..Caller::default()
+        });
+        let now = self.clock();
+        self.routers[router].machine.submit(RequestId::new(number), call, now);
+    }
+
+    fn leave(&mut self, nth: usize) {
+        let now = self.clock();
+        let waiting = self.callers.iter_mut().filter(|(_, caller)| caller.last.is_none());
+        let Some((number, caller)) = waiting.rev().nth(nth) else {
+            return;
+        };
+        if caller.router_run == self.router_runs[caller.router] && !self.routers[caller.router].frozen {
+            caller.is_gone = true;
+            self.routers[caller.router].machine.caller_gone(RequestId::new(*number), now);
+        }
+    }
+
+    fn deliver(&mut self, index: usize, forward: bool) {
+        let (near, far) = Self::ends(index);
+        let (now, wall) = (self.clock(), self.wall());
+        let link = &mut self.links[index];
+        if forward && link.far_up && !self.sidecars[far].frozen {
+            if let Some(message) = link.forward.pop_front() {
+                self.sidecars[far].machine.receive(link.id, message, now, wall);
+            }
+        } else if !forward && link.near_up {
+            match near {
+                Some(router) if !self.routers[router].frozen => {
+                    if let Some(message) = link.backward.pop_front() {
+                        self.routers[router].machine.receive(link.id, message, now);
+                    }
+                }
+                None if !self.sidecars[0].frozen => {
+                    if let Some(message) = link.backward.pop_front() {
+                        self.sidecars[0].machine.receive(link.id, message, now, wall);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.act_all();
+    }
+
+    fn cut(&mut self, link: usize) {
+        self.links[link].is_cut = true;
+        self.links[link].forward.clear();
+        self.links[link].backward.clear();
+    }
+
+    fn notice(&mut self, index: usize, router_end: bool) {
+        let (near, far) = Self::ends(index);
+        let now = self.clock();
+        if !self.links[index].is_cut {
+            return;
+        }
+        let id = self.links[index].id;
+        if router_end && self.links[index].near_up {
+            match near {
+                Some(router) if !self.routers[router].frozen => {
+                    self.routers[router].machine.link_down(id, now);
+                    self.links[index].near_up = false;
+                }
+                None if !self.sidecars[0].frozen => {
+                    self.sidecars[0].machine.link_down(id, now);
+                    self.links[index].near_up = false;
+                }
+                _ => {}
+            }
+        } else if !router_end && self.links[index].far_up && !self.sidecars[far].frozen {
+            self.sidecars[far].machine.link_down(id, now);
+            self.links[index].far_up = false;
+        }
+        // The dialling side connects anew, perhaps before the other has noticed.
+        let near_frozen = near.map_or(self.sidecars[0].frozen, |router| self.routers[router].frozen);
+        if !self.links[index].near_up && !near_frozen && !self.sidecars[far].frozen {
+            if near.is_none() && self.links[index].far_up {
+                self.sidecars[far].machine.link_down(id, now);
+            }
+            self.connect(index);
+        }
+    }
+
+    /// The endpoint is reached unless the call's time to begin has passed.
+    fn begin(&mut self, index: usize) {
+        let (now, number) = (self.clock(), self.sidecars[index].ordered.front().map(|order| order.request.request));
+        let sidecar = &mut self.sidecars[index];
+        if sidecar.frozen {
+            return;
+        }
+        let (Some(order), Some(number)) = (sidecar.ordered.pop_front(), number) else {
+            return;
+        };
+        if now >= order.start_by || sidecar.aborted.contains(&order.grant) {
+            sidecar.machine.ended(order.grant, CallResult::TooLate, 0, now);
+            return;
+        }
+        let body = String::from_utf8_lossy(&order.request.body).into_owned();
+        self.effects.push((body, number));
+        sidecar.running.push_back(order);
+    }
+
+    fn end(&mut self, index: usize, result: usize) {
+        let now = self.clock();
+        let sidecar = &mut self.sidecars[index];
+        if sidecar.frozen {
+            return;
+        }
+        let Some(order) = sidecar.running.pop_front() else {
+            return;
+        };
+        let whole = format!("done {}", String::from_utf8_lossy(&order.request.body));
+        let grant = order.request.grant;
+        let is_whole = result != 0 && !sidecar.aborted.contains(&order.grant);
+        let mut messages = vec![
+            PeerMessage::Head(AnswerHead { grant, status: 200, headers: Vec::new() }),
+            PeerMessage::Chunk(AnswerChunk { grant, offset: 0, bytes: whole.as_bytes()[..3].to_vec() }),
+        ];
+        if is_whole {
+            let kept = StoredAnswer { status: 200, headers: Vec::new(), body: whole.clone().into_bytes() };
+            let result = CallResult::Complete { status: 200, kept: Some(kept) };
+            sidecar.machine.ended(order.grant, result, 1, now);
+            messages.push(PeerMessage::Chunk(AnswerChunk {
+                grant,
+                offset: 3,
+                bytes: whole.as_bytes()[3..].to_vec(),
+            }));
+            let (state, length) = (end_state::COMPLETE, whole.len() as u64);
+            messages.push(PeerMessage::End(AnswerEnd { grant, state, length }));
+        } else {
+            sidecar.machine.ended(order.grant, CallResult::Broken, 1, now);
+            let (state, length) = (end_state::BROKEN, 3);
+            messages.push(PeerMessage::End(AnswerEnd { grant, state, length }));
+        }
+        for message in messages {
+            self.send_back(index, order.link, message);
+        }
+    }
+
+    fn freeze(&mut self, process: usize, frozen: bool) {
+        if process < ROUTERS {
+            self.routers[process].frozen = frozen;
+        } else {
+            self.sidecars[process - ROUTERS].frozen = frozen;
+        }
+    }
+
+    fn restart(&mut self, process: usize) {
+        if process < ROUTERS {
+            self.routers[process] = self.new_router();
+            self.router_runs[process] += 1;
+        } else {
+            let index = process - ROUTERS;
+            self.now += 1;
+            self.sidecars[index] = self.new_sidecar(index);
+        }
+        for index in 0..self.links.len() {
+            let (near, far) = Self::ends(index);
+            let near_is = near.map_or(process == ROUTERS, |router| router == process);
+            let far_is = far + ROUTERS == process;
+            if near_is || far_is {
+                self.cut(index);
+                self.links[index].near_up &= !near_is;
+                self.links[index].far_up &= !far_is;
+            }
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += millis;
+        let (now, wall) = (self.clock(), self.wall());
+        self.routers.iter_mut().filter(|router| !router.frozen).for_each(|router| router.machine.tick(now));
+        let sidecars = self.sidecars.iter_mut().filter(|sidecar| !sidecar.frozen);
+        sidecars.for_each(|sidecar| sidecar.machine.tick(now, wall));
+        self.act_all();
+        // Words between the sidecars flow unless their connection is cut or an end is frozen.
+        for _ in 0..8 {
+            self.deliver(ROUTERS * SIDECARS, true);
+            self.deliver(ROUTERS * SIDECARS, false);
+        }
+    }
+
+    fn exchange_all(&mut self) {
+        for link in 0..self.links.len() {
+            for _ in 0..40 {
+                self.deliver(link, true);
+                self.deliver(link, false);
+            }
+        }
+    }
+
+    /// Lets everything come to its end.
+    fn drain(&mut self) {
+        (0..ROUTERS + SIDECARS).for_each(|process| self.freeze(process, false));
+        for _ in 0..80 {
+            for link in 0..self.links.len() {
+                self.notice(link, false);
+                self.notice(link, true);
+            }
+            self.exchange_all();
+            for sidecar in 0..SIDECARS {
+                (0..3).for_each(|_| self.begin(sidecar));
+                (0..3).for_each(|_| self.end(sidecar, 1));
+            }
+            self.pass(200);
+        }
+    }
+
+    fn check(&self) {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for (body, _) in &self.effects {
+            *counts.entry(body).or_default() += 1;
+        }
+        for (number, caller) in &self.callers {
+            let count = counts.get(caller.body.as_str()).copied().unwrap_or(0);
+            assert!(caller.may_repeat || count <= 1, "{count} effects of {caller:?}");
+            let not_run = matches!(
+                &caller.last,
+                Some(CallerEvent::Fail(failure)) if failure.outcome == RequestOutcome::NotRun
+            );
+            let ran = self.effects.iter().any(|(_, by)| by == number);
+            assert!(!(not_run && ran), "told not run, but it ran later: {caller:?}");
+            let is_served = caller.router_run == self.router_runs[caller.router] && !caller.is_gone;
+            assert!(!is_served || caller.last.is_some(), "no last event for {caller:?}");
+        }
+    }
+}
+
+fn sidecar_name(index: usize) -> HostName {
+    format!("s{index}").parse().expect("a name")
+}
+
+fn service() -> ServiceName {
+    "udlaan".parse().expect("a name")
+}
+
+fn run(steps: &[Step]) -> World {
+    let mut world = World::new();
+    steps.iter().for_each(|step| world.take(step));
+    world.drain();
+    world.check();
+    world
+}
+
+proptest! {
+    #![proptest_config(seeded(600))]
+
+    #[test]
+    fn outcomes_are_true_and_nothing_runs_twice(steps in prop::collection::vec(step(), 20..300)) {
+        run(&steps);
+    }
+
+    #[test]
+    fn outcomes_are_true_while_sidecars_stop(steps in prop::collection::vec(stopping_step(), 20..200)) {
+        run(&steps);
+    }
+}
+
+#[test]
+fn every_request_is_answered_whole_when_nothing_fails() {
+    let mut steps = Vec::new();
+    for number in 0..30 {
+        steps.push(Step::Call { router: number % ROUTERS, idempotent: number % 3 == 0 });
+    }
+    for key in 0..6 {
+        steps.push(Step::CallKeyed { router: key % ROUTERS, key });
+    }
+    let world = run(&steps);
+    let complete = world.callers.values().filter(|caller| caller.last == Some(CallerEvent::Complete));
+    assert_eq!(complete.count(), 36);
+    assert_eq!(world.effects.len(), 36);
+}
+
+#[test]
+fn a_retry_at_another_router_gets_the_first_answer() {
+    let mut world = World::new();
+    world.take(&Step::CallKeyed { router: 0, key: 0 });
+    world.drain();
+    world.take(&Step::CallKeyed { router: 1, key: 0 });
+    world.drain();
+    world.check();
+    assert_eq!(world.effects.len(), 1);
+    assert!(world.callers.values().all(|caller| caller.last == Some(CallerEvent::Complete)));
+}
+
+#[test]
+fn a_retry_after_the_home_restarted_is_unknown_and_not_run() {
+    let mut world = World::new();
+    world.take(&Step::CallKeyed { router: 0, key: 0 });
+    world.drain();
+    (0..SIDECARS).for_each(|index| world.take(&Step::Restart { process: ROUTERS + index }));
+    world.drain();
+    world.take(&Step::CallKeyed { router: 1, key: 0 });
+    world.drain();
+    world.check();
+    assert_eq!(world.effects.len(), 1);
+    let second = world.callers.values().last().and_then(|caller| caller.last.clone());
+    assert!(
+        matches!(second, Some(CallerEvent::Fail(failure)) if failure.outcome == RequestOutcome::Unknown)
+    );
+}
