fix(core): a sidecar that is listed as live again is used again

Cause: a sidecar whose host the list shows as leaving says so to the routers; nothing took that back, so a host listed as live again stayed unused until its connections ended. Ruled out: the routers' own reading of the list, which did change. Change: the notice says whether the sender is back. Found by the new process test an_endpoint_that_is_listed_as_leaving_gets_no_new_work, seen to fail before the change.

--- a/crates/cicadalock-core/src/message/control.rs
+++ b/crates/cicadalock-core/src/message/control.rs
@@ -96,9 +96,13 @@
     pub echo: u64,
 }
 
-/// The sender takes no new work.
+/// The sender takes no new work, or takes it again.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
-pub struct LeavingNotice {}
+pub struct LeavingNotice {
+    /// Whether the sender takes new work again.
+    #[prost(bool, tag = "1")]
+    pub is_back: bool,
+}
 
 /// Sign of life while work is outstanding.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
--- a/crates/cicadalock-core/src/message/envelope.rs
+++ b/crates/cicadalock-core/src/message/envelope.rs
@@ -78,7 +78,7 @@
     /// A sidecar's view of the homes of keys.
     #[prost(message, tag = "16")]
     View(ViewWord),
-    /// The sender takes no new work.
+    /// The sender takes no new work, or takes it again.
     #[prost(message, tag = "17")]
     Leaving(LeavingNotice),
     /// Request for a document.
--- a/crates/cicadalock-core/src/router/machine.rs
+++ b/crates/cicadalock-core/src/router/machine.rs
@@ -203,8 +203,8 @@
                 sidecar.told.clear();
                 self.mark_all();
             }
-            PeerMessage::Leaving(_) => {
-                sidecar.is_leaving = true;
+            PeerMessage::Leaving(notice) => {
+                sidecar.is_leaving = !notice.is_back;
                 self.mark_all();
             }
             _ => {}
--- a/crates/cicadalock-core/src/sidecar/exchange.rs
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -28,7 +28,7 @@
                 self.scheduler.merge(&report, now);
             }
             PeerMessage::View(word) => self.lease.hear(&host, &word, now),
-            PeerMessage::Leaving(_) => self.lease.depart(&host),
+            PeerMessage::Leaving(notice) if !notice.is_back => self.lease.depart(&host),
             _ => {}
         }
     }
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -467,9 +467,7 @@
 
     fn change_leaving(&mut self) {
         self.lease.suspend();
-        if !self.is_leaving() {
-            return;
-        }
+        let is_back = !self.is_leaving();
         let links: Vec<LinkId> = self
             .routers
             .keys()
@@ -477,7 +475,7 @@
             .copied()
             .collect();
         for link in links {
-            self.send(link, PeerMessage::Leaving(LeavingNotice {}));
+            self.send(link, PeerMessage::Leaving(LeavingNotice { is_back }));
         }
     }
 
--- a/crates/cicadalock-core/tests/fleet_outcomes.rs
+++ b/crates/cicadalock-core/tests/fleet_outcomes.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use cicadalock_core::config::FleetConfig;
-use cicadalock_core::id::{GrantId, HostName, Incarnation, LinkId, RequestId, Revision, ServiceName};
+use cicadalock_core::id::{
+    GrantId, HostName, Incarnation, LinkId, RequestId, Revision, ServiceName,
+};
 use cicadalock_core::member::HostList;
 use cicadalock_core::message::{AnswerChunk, AnswerEnd, AnswerHead, PeerMessage, end_state};
 use cicadalock_core::outcome::{RequestOutcome, StoredAnswer};
@@ -32,7 +34,11 @@
     /// A caller goes away.
     Leave { nth: usize },
     /// The next frames of a connection arrive.
-    Deliver { link: usize, forward: bool, count: usize },
+    Deliver {
+        link: usize,
+        forward: bool,
+        count: usize,
+    },
     /// A connection is cut; frames under way are lost.
     Cut { link: usize },
     /// One end of a cut connection notices.
@@ -201,7 +207,10 @@
         let mut machine = RouterMachine::new(self.now);
         machine.set_config(Arc::clone(&self.config));
         machine.set_hosts(self.list(self.lists.len()));
-        Router { machine, frozen: false }
+        Router {
+            machine,
+            frozen: false,
+        }
     }
 
     fn new_sidecar(&self, index: usize) -> Sidecar {
@@ -210,7 +219,10 @@
             .started(self.wall())
             .build();
         machine.set_config(Arc::clone(&self.config), self.wall());
-        machine.set_hosts(&self.list(self.lists.len()), Revision::new(self.lists.len() as u64));
+        machine.set_hosts(
+            &self.list(self.lists.len()),
+            Revision::new(self.lists.len() as u64),
+        );
         Sidecar {
             machine,
             frozen: false,
@@ -222,7 +234,11 @@
 
     /// The ends of a connection: a router if there is one, and the sidecars.
     fn ends(link: usize) -> (Option<usize>, usize) {
-        if link == ROUTERS * SIDECARS { (None, 1) } else { (Some(link / SIDECARS), link % SIDECARS) }
+        if link == ROUTERS * SIDECARS {
+            (None, 1)
+        } else {
+            (Some(link / SIDECARS), link % SIDECARS)
+        }
     }
 
     fn connect(&mut self, link: usize) {
@@ -248,8 +264,12 @@
             }
             None => {
                 let incarnation = Incarnation::new(self.now);
-                self.sidecars[0].machine.peer_up(id, sidecar_name(1), incarnation, true);
-                self.sidecars[1].machine.peer_up(id, sidecar_name(0), incarnation, true);
+                self.sidecars[0]
+                    .machine
+                    .peer_up(id, sidecar_name(1), incarnation, true);
+                self.sidecars[1]
+                    .machine
+                    .peer_up(id, sidecar_name(0), incarnation, true);
             }
         }
         self.act_all();
@@ -261,13 +281,17 @@
         for index in 0..ROUTERS {
             if !self.routers[index].frozen {
                 let actions = self.routers[index].machine.take_actions(now);
-                actions.into_iter().for_each(|action| self.act_router(index, action));
+                actions
+                    .into_iter()
+                    .for_each(|action| self.act_router(index, action));
             }
         }
         for index in 0..SIDECARS {
             if !self.sidecars[index].frozen {
                 let actions = self.sidecars[index].machine.take_actions(now, wall);
-                actions.into_iter().for_each(|action| self.act_sidecar(index, action));
+                actions
+                    .into_iter()
+                    .for_each(|action| self.act_sidecar(index, action));
             }
         }
     }
@@ -309,12 +333,19 @@
     }
 
     fn send_back(&mut self, sidecar: usize, link: LinkId, message: PeerMessage) {
-        let Some(index) = self.find_link(link).filter(|index| !self.links[*index].is_cut) else {
+        let Some(index) = self
+            .find_link(link)
+            .filter(|index| !self.links[*index].is_cut)
+        else {
             return;
         };
         let is_forward = Self::ends(index).0.is_none() && sidecar == 0;
         let link = &mut self.links[index];
-        if is_forward { link.forward.push_back(message) } else { link.backward.push_back(message) }
+        if is_forward {
+            link.forward.push_back(message)
+        } else {
+            link.backward.push_back(message)
+        }
     }
 
     fn find_link(&self, id: LinkId) -> Option<usize> {
@@ -329,7 +360,10 @@
         if caller.router != router || caller.is_gone {
             return;
         }
-        assert!(caller.last.is_none(), "an event after the last one: {event:?}");
+        assert!(
+            caller.last.is_none(),
+            "an event after the last one: {event:?}"
+        );
         if let CallerEvent::Chunk(bytes) = &event {
             caller.received.extend(bytes);
         }
@@ -344,7 +378,11 @@
         }
         if event == CallerEvent::Complete {
             let whole = format!("done {}", caller.body);
-            assert_eq!(String::from_utf8_lossy(&caller.received), whole, "a foreign answer");
+            assert_eq!(
+                String::from_utf8_lossy(&caller.received),
+                whole,
+                "a foreign answer"
+            );
         }
         if event.is_last() {
             caller.last = Some(event);
@@ -357,7 +395,11 @@
             Step::CallKeyed { router, key } => self.call(router, Some(key), false),
             Step::Mint => self.keys.push(self.now),
             Step::Leave { nth } => self.leave(nth),
-            Step::Deliver { link, forward, count } => {
+            Step::Deliver {
+                link,
+                forward,
+                count,
+            } => {
                 (0..count).for_each(|_| self.deliver(link, forward));
             }
             Step::Cut { link } => self.cut(link),
@@ -388,32 +430,48 @@
         self.next_request += 1;
         let body = key.map_or_else(|| format!("request-{number}"), |key| format!("key-{key}"));
         let name = if idempotent { "lookup" } else { "booking" };
-        let kind = self.config.kinds().iter().find(|kind| kind.name.as_str() == name);
+        let kind = self
+            .config
+            .kinds()
+            .iter()
+            .find(|kind| kind.name.as_str() == name);
         let call = CallerRequest::builder(&self.config.customers()[0], kind.expect("a kind"))
             .body(body.clone().into_bytes())
             .key(key.map(|key| key_at(self.keys[key], key as u16)))
             .build();
-        self.callers.insert(number, Caller {
-            body,
-            router,
-            router_run: self.router_runs[router],
-            may_repeat: idempotent,
-            key,
-            ..Caller::default()
-        });
+        self.callers.insert(
+            number,
+            Caller {
+                body,
+                router,
+                router_run: self.router_runs[router],
+                may_repeat: idempotent,
+                key,
+                ..Caller::default()
+            },
+        );
         let now = self.clock();
-        self.routers[router].machine.submit(RequestId::new(number), call, now);
+        self.routers[router]
+            .machine
+            .submit(RequestId::new(number), call, now);
     }
 
     fn leave(&mut self, nth: usize) {
         let now = self.clock();
-        let waiting = self.callers.iter_mut().filter(|(_, caller)| caller.last.is_none());
+        let waiting = self
+            .callers
+            .iter_mut()
+            .filter(|(_, caller)| caller.last.is_none());
         let Some((number, caller)) = waiting.rev().nth(nth) else {
             return;
         };
-        if caller.router_run == self.router_runs[caller.router] && !self.routers[caller.router].frozen {
+        if caller.router_run == self.router_runs[caller.router]
+            && !self.routers[caller.router].frozen
+        {
             caller.is_gone = true;
-            self.routers[caller.router].machine.caller_gone(RequestId::new(*number), now);
+            self.routers[caller.router]
+                .machine
+                .caller_gone(RequestId::new(*number), now);
         }
     }
 
@@ -423,7 +481,9 @@
         let link = &mut self.links[index];
         if forward && link.far_up && !self.sidecars[far].frozen {
             if let Some(message) = link.forward.pop_front() {
-                self.sidecars[far].machine.receive(link.id, message, now, wall);
+                self.sidecars[far]
+                    .machine
+                    .receive(link.id, message, now, wall);
             }
         } else if !forward && link.near_up {
             match near {
@@ -434,7 +494,9 @@
                 }
                 None if !self.sidecars[0].frozen => {
                     if let Some(message) = link.backward.pop_front() {
-                        self.sidecars[0].machine.receive(link.id, message, now, wall);
+                        self.sidecars[0]
+                            .machine
+                            .receive(link.id, message, now, wall);
                     }
                 }
                 _ => {}
@@ -473,7 +535,9 @@
             self.links[index].far_up = false;
         }
         // The dialling side connects anew, perhaps before the other has noticed.
-        let near_frozen = near.map_or(self.sidecars[0].frozen, |router| self.routers[router].frozen);
+        let near_frozen = near.map_or(self.sidecars[0].frozen, |router| {
+            self.routers[router].frozen
+        });
         if !self.links[index].near_up && !near_frozen && !self.sidecars[far].frozen {
             if near.is_none() && self.links[index].far_up {
                 self.sidecars[far].machine.link_down(id, now);
@@ -484,7 +548,13 @@
 
     /// The endpoint is reached unless the call's time to begin has passed.
     fn begin(&mut self, index: usize) {
-        let (now, number) = (self.clock(), self.sidecars[index].ordered.front().map(|order| order.request.request));
+        let (now, number) = (
+            self.clock(),
+            self.sidecars[index]
+                .ordered
+                .front()
+                .map(|order| order.request.request),
+        );
         let sidecar = &mut self.sidecars[index];
         if sidecar.frozen {
             return;
@@ -493,7 +563,9 @@
             return;
         };
         if now >= order.start_by || sidecar.aborted.contains(&order.grant) {
-            sidecar.machine.ended(order.grant, CallResult::TooLate, 0, now);
+            sidecar
+                .machine
+                .ended(order.grant, CallResult::TooLate, 0, now);
             return;
         }
         let body = String::from_utf8_lossy(&order.request.body).into_owned();
@@ -514,12 +586,27 @@
         let grant = order.request.grant;
         let is_whole = result != 0 && !sidecar.aborted.contains(&order.grant);
         let mut messages = vec![
-            PeerMessage::Head(AnswerHead { grant, status: 200, headers: Vec::new() }),
-            PeerMessage::Chunk(AnswerChunk { grant, offset: 0, bytes: whole.as_bytes()[..3].to_vec() }),
+            PeerMessage::Head(AnswerHead {
+                grant,
+                status: 200,
+                headers: Vec::new(),
+            }),
+            PeerMessage::Chunk(AnswerChunk {
+                grant,
+                offset: 0,
+                bytes: whole.as_bytes()[..3].to_vec(),
+            }),
         ];
         if is_whole {
-            let kept = StoredAnswer { status: 200, headers: Vec::new(), body: whole.clone().into_bytes() };
-            let result = CallResult::Complete { status: 200, kept: Some(kept) };
+            let kept = StoredAnswer {
+                status: 200,
+                headers: Vec::new(),
+                body: whole.clone().into_bytes(),
+            };
+            let result = CallResult::Complete {
+                status: 200,
+                kept: Some(kept),
+            };
             sidecar.machine.ended(order.grant, result, 1, now);
             messages.push(PeerMessage::Chunk(AnswerChunk {
                 grant,
@@ -527,11 +614,21 @@
                 bytes: whole.as_bytes()[3..].to_vec(),
             }));
             let (state, length) = (end_state::COMPLETE, whole.len() as u64);
-            messages.push(PeerMessage::End(AnswerEnd { grant, state, length }));
+            messages.push(PeerMessage::End(AnswerEnd {
+                grant,
+                state,
+                length,
+            }));
         } else {
-            sidecar.machine.ended(order.grant, CallResult::Broken, 1, now);
+            sidecar
+                .machine
+                .ended(order.grant, CallResult::Broken, 1, now);
             let (state, length) = (end_state::BROKEN, 3);
-            messages.push(PeerMessage::End(AnswerEnd { grant, state, length }));
+            messages.push(PeerMessage::End(AnswerEnd {
+                grant,
+                state,
+                length,
+            }));
         }
         for message in messages {
             self.send_back(index, order.link, message);
@@ -558,7 +655,11 @@
             )
         });
         let hosts: Vec<String> = hosts.collect();
-        let text = format!("{{\"previous\": {}, \"hosts\": [{}]}}", revision - 1, hosts.join(", "));
+        let text = format!(
+            "{{\"previous\": {}, \"hosts\": [{}]}}",
+            revision - 1,
+            hosts.join(", ")
+        );
         HostList::parse(&text).expect("a host list")
     }
 
@@ -575,7 +676,9 @@
         let list = self.list(next);
         match process.checked_sub(ROUTERS) {
             None => self.routers[process].machine.set_hosts(list),
-            Some(index) => self.sidecars[index].machine.set_hosts(&list, Revision::new(next as u64)),
+            Some(index) => self.sidecars[index]
+                .machine
+                .set_hosts(&list, Revision::new(next as u64)),
         }
     }
 
@@ -604,7 +707,10 @@
     fn pass(&mut self, millis: u64) {
         self.now += millis;
         let (now, wall) = (self.clock(), self.wall());
-        self.routers.iter_mut().filter(|router| !router.frozen).for_each(|router| router.machine.tick(now));
+        self.routers
+            .iter_mut()
+            .filter(|router| !router.frozen)
+            .for_each(|router| router.machine.tick(now));
         let sidecars = self.sidecars.iter_mut().filter(|sidecar| !sidecar.frozen);
         sidecars.for_each(|sidecar| sidecar.machine.tick(now, wall));
         self.act_all();
@@ -651,15 +757,24 @@
         }
         for (number, caller) in &self.callers {
             let count = counts.get(caller.body.as_str()).copied().unwrap_or(0);
-            assert!(caller.may_repeat || count <= 1, "{count} effects of {caller:?}");
+            assert!(
+                caller.may_repeat || count <= 1,
+                "{count} effects of {caller:?}"
+            );
             let not_run = matches!(
                 &caller.last,
                 Some(CallerEvent::Fail(failure)) if failure.outcome == RequestOutcome::NotRun
             );
             let ran = self.effects.iter().any(|(_, by)| by == number);
-            assert!(!(not_run && ran), "told not run, but it ran later: {caller:?}");
+            assert!(
+                !(not_run && ran),
+                "told not run, but it ran later: {caller:?}"
+            );
             let is_served = caller.router_run == self.router_runs[caller.router] && !caller.is_gone;
-            assert!(!is_served || caller.last.is_some(), "no last event for {caller:?}");
+            assert!(
+                !is_served || caller.last.is_some(),
+                "no last event for {caller:?}"
+            );
         }
     }
 }
@@ -698,13 +813,22 @@
 fn every_request_is_answered_whole_when_nothing_fails() {
     let mut steps = Vec::new();
     for number in 0..30 {
-        steps.push(Step::Call { router: number % ROUTERS, idempotent: number % 3 == 0 });
+        steps.push(Step::Call {
+            router: number % ROUTERS,
+            idempotent: number % 3 == 0,
+        });
     }
     for key in 0..6 {
-        steps.push(Step::CallKeyed { router: key % ROUTERS, key });
+        steps.push(Step::CallKeyed {
+            router: key % ROUTERS,
+            key,
+        });
     }
     let world = run(&steps);
-    let complete = world.callers.values().filter(|caller| caller.last == Some(CallerEvent::Complete));
+    let complete = world
+        .callers
+        .values()
+        .filter(|caller| caller.last == Some(CallerEvent::Complete));
     assert_eq!(complete.count(), 36);
     assert_eq!(world.effects.len(), 36);
 }
@@ -718,7 +842,12 @@
     world.drain();
     world.check();
     assert_eq!(world.effects.len(), 1);
-    assert!(world.callers.values().all(|caller| caller.last == Some(CallerEvent::Complete)));
+    assert!(
+        world
+            .callers
+            .values()
+            .all(|caller| caller.last == Some(CallerEvent::Complete))
+    );
 }
 
 #[test]
@@ -726,13 +855,21 @@
     let mut world = World::new();
     world.take(&Step::CallKeyed { router: 0, key: 0 });
     world.drain();
-    (0..SIDECARS).for_each(|index| world.take(&Step::Restart { process: ROUTERS + index }));
+    (0..SIDECARS).for_each(|index| {
+        world.take(&Step::Restart {
+            process: ROUTERS + index,
+        })
+    });
     world.drain();
     world.take(&Step::CallKeyed { router: 1, key: 0 });
     world.drain();
     world.check();
     assert_eq!(world.effects.len(), 1);
-    let second = world.callers.values().last().and_then(|caller| caller.last.clone());
+    let second = world
+        .callers
+        .values()
+        .last()
+        .and_then(|caller| caller.last.clone());
     assert!(
         matches!(second, Some(CallerEvent::Fail(failure)) if failure.outcome == RequestOutcome::Unknown)
     );
--- a/crates/cicadalock-core/tests/ledger.rs
+++ b/crates/cicadalock-core/tests/ledger.rs
@@ -18,7 +18,10 @@
 const CUSTOMER: CustomerId = CustomerId::new(1);
 
 fn ledger() -> OutcomeLedger {
-    OutcomeLedger::builder(at(0)).window(WINDOW).skew(Duration::from_millis(SKEW_MS)).build()
+    OutcomeLedger::builder(at(0))
+        .window(WINDOW)
+        .skew(Duration::from_millis(SKEW_MS))
+        .build()
 }
 
 fn at(millis: u64) -> WallTime {
@@ -26,7 +29,11 @@
 }
 
 fn answer() -> StoredAnswer {
-    StoredAnswer { status: 200, headers: Vec::new(), body: b"booked".to_vec() }
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: b"booked".to_vec(),
+    }
 }
 
 #[parameterized(
@@ -52,8 +59,14 @@
     let mut ledger = ledger();
     let key = key_at(START_MS + 5_000, 1);
     let body = BodyDigest::of(b"a");
-    assert_eq!(ledger.claim(CUSTOMER, &key, body, at(0), at(5_000)), LedgerVerdict::Run);
-    assert_eq!(ledger.claim(CUSTOMER, &key, body, at(0), at(5_001)), LedgerVerdict::InProgress);
+    assert_eq!(
+        ledger.claim(CUSTOMER, &key, body, at(0), at(5_000)),
+        LedgerVerdict::Run
+    );
+    assert_eq!(
+        ledger.claim(CUSTOMER, &key, body, at(0), at(5_001)),
+        LedgerVerdict::InProgress
+    );
     ledger.finish(CUSTOMER, &key, Some(answer()));
     let verdict = ledger.claim(CUSTOMER, &key, body, at(0), at(5_002));
     assert_eq!(verdict, LedgerVerdict::Replay(answer().into()));
@@ -83,9 +96,18 @@
     let mut ledger = OutcomeLedger::builder(at(0)).entry_limit(1).build();
     let (first, second) = (key_at(START_MS + 5_000, 1), key_at(START_MS + 5_000, 2));
     let body = BodyDigest::of(b"a");
-    assert_eq!(ledger.claim(CUSTOMER, &first, body, at(0), at(5_000)), LedgerVerdict::Run);
-    assert_eq!(ledger.claim(CUSTOMER, &second, body, at(0), at(5_000)), LedgerVerdict::Full);
-    assert_eq!(ledger.claim(CUSTOMER, &first, body, at(0), at(5_000)), LedgerVerdict::InProgress);
+    assert_eq!(
+        ledger.claim(CUSTOMER, &first, body, at(0), at(5_000)),
+        LedgerVerdict::Run
+    );
+    assert_eq!(
+        ledger.claim(CUSTOMER, &second, body, at(0), at(5_000)),
+        LedgerVerdict::Full
+    );
+    assert_eq!(
+        ledger.claim(CUSTOMER, &first, body, at(0), at(5_000)),
+        LedgerVerdict::InProgress
+    );
 }
 
 #[derive(Debug, Clone)]
--- a/crates/cicadalock-core/tests/retry.rs
+++ b/crates/cicadalock-core/tests/retry.rs
@@ -16,7 +16,10 @@
     nothing_saved = { 10, 0, 100 },
 )]
 fn retries_stay_a_small_part_of_first_attempts(percent: u32, reserve: u32, attempts: u32) {
-    let mut budget = RetryBudget::builder().ratio_percent(percent).reserve(reserve).build();
+    let mut budget = RetryBudget::builder()
+        .ratio_percent(percent)
+        .reserve(reserve)
+        .build();
     let mut retries = 0;
     for _ in 0..attempts {
         budget.deposit();
--- a/crates/cicadalock-core/tests/support/mod.rs
+++ b/crates/cicadalock-core/tests/support/mod.rs
@@ -48,5 +48,7 @@
 pub fn key_at(millis: u64, number: u16) -> IdempotencyKey {
     let high = millis >> 16;
     let low = millis & 0xffff;
-    format!("{high:08x}-{low:04x}-7000-8000-00000000{number:04x}").parse().expect("a UUID of version 7")
+    format!("{high:08x}-{low:04x}-7000-8000-00000000{number:04x}")
+        .parse()
+        .expect("a UUID of version 7")
 }
--- a/crates/cicadalock-core/tests/view_lease.rs
+++ b/crates/cicadalock-core/tests/view_lease.rs
@@ -17,7 +17,10 @@
 }
 
 fn homes(mask: u8) -> Vec<HostName> {
-    (0..4).filter(|index| mask & (1 << index) != 0).map(name).collect()
+    (0..4)
+        .filter(|index| mask & (1 << index) != 0)
+        .map(name)
+        .collect()
 }
 
 fn exchange(left: &mut ViewLease, right: &mut ViewLease, now: ClockTime) {
@@ -77,9 +80,9 @@
     }
     exchange(&mut left, &mut right, now);
     assert!(left.is_held(now, wall));
-    let moved = (0..100).map(|number| format!("key-{number}")).find(|key| {
-        key_home(&homes(7), key) == Some(&name(2)) && left.is_home(key)
-    });
+    let moved = (0..100)
+        .map(|number| format!("key-{number}"))
+        .find(|key| key_home(&homes(7), key) == Some(&name(2)) && left.is_home(key));
     let after = left.minted_after(&moved.expect("a key that moved"));
     assert!(after.expect("the view is established") > wall);
 }
@@ -228,7 +231,11 @@
             // Every set shares a home with the one before it, as the operators' page asks.
             Step::Publish(mask) => {
                 let (revision, _, before) = *self.lists.last().expect("a list");
-                let mask = if mask & before == 0 { mask | before } else { mask };
+                let mask = if mask & before == 0 {
+                    mask | before
+                } else {
+                    mask
+                };
                 self.lists.push((revision + 1, revision, mask));
             }
             Step::Read(index, newest) => self.read(index, newest),
@@ -247,7 +254,9 @@
                 self.processes[to].lease.reset_peer(&name(from));
             }
             Step::Restart(index) => self.restart(index),
-            Step::Mint => self.keys.push((format!("key-{}", self.keys.len()), self.now)),
+            Step::Mint => self
+                .keys
+                .push((format!("key-{}", self.keys.len()), self.now)),
             Step::Bring(index, key) if key < self.keys.len() => self.bring(index, key),
             Step::Pass(millis) => self.now += millis,
             _ => {}
@@ -260,7 +269,11 @@
     fn read(&mut self, index: usize, newest: bool) {
         let process = &mut self.processes[index];
         let mut unread = self.lists.iter().filter(|list| list.0 > process.read);
-        let list = if newest { unread.next_back() } else { unread.next() };
+        let list = if newest {
+            unread.next_back()
+        } else {
+            unread.next()
+        };
         if let Some((revision, previous, mask)) = list {
             process.read = *revision;
             let (revision, previous) = (Revision::new(*revision), Revision::new(*previous));
--- a/crates/trial/src/report/render.rs
+++ b/crates/trial/src/report/render.rs
@@ -18,7 +18,10 @@
                 "fairness gap: {:.0} in the first half, {:.0} in the second (cost units by share)",
                 gap.0, gap.1
             )?;
-            writeln!(formatter, "greatest departure from the share in the second half: {error:.1} %")?;
+            writeln!(
+                formatter,
+                "greatest departure from the share in the second half: {error:.1} %"
+            )?;
         }
         writeln!(formatter, "utilisation: {:.1} %", self.utilisation_percent)?;
         write_waits(formatter, "all callers", &self.wait)?;
--- /dev/null
+++ b/crates/trial/tests/answers.rs
@@ -0,0 +1,228 @@
+//! Whole answers, with real processes: a caller gets its own answer or sees a break.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use support::{
+    booking, completion, desk_fleet, model_fleet, send, send_raw, wait_for, with_header,
+};
+use trial::fleet::get_json;
+use trial::load::CallVerdict;
+use yare::parameterized;
+
+#[test]
+fn a_streamed_completion_arrives_token_by_token() {
+    let fleet = model_fleet(2, Duration::from_millis(40))
+        .start()
+        .expect("a fleet");
+    let answer = send(fleet.routers[0].callers, &completion(25));
+    assert_eq!(answer.verdict, CallVerdict::Complete);
+    let first = answer.first_byte.expect("a first byte");
+    assert!(
+        answer.total > first + Duration::from_millis(500),
+        "the stream came in one piece"
+    );
+    assert!(answer.body.ends_with(b"data: [DONE]\n\n"));
+}
+
+#[parameterized(
+    closed_midway = { "close" },
+    without_its_end_mark = { "no-done" },
+)]
+fn a_stream_that_stops_midway_is_cut_visibly(fault: &str) {
+    let fleet = model_fleet(1, Duration::from_millis(5))
+        .start()
+        .expect("a fleet");
+    let plan = with_header(completion(20), "x-standin-fault", fault);
+    assert_eq!(
+        send(fleet.routers[0].callers, &plan).verdict,
+        CallVerdict::Broken
+    );
+    assert_eq!(
+        send(fleet.routers[0].callers, &completion(20)).verdict,
+        CallVerdict::Complete
+    );
+}
+
+#[parameterized(
+    with_a_short_length = { "short-length" },
+    chunked_without_its_end = { "no-end" },
+)]
+fn an_answer_that_stops_midway_is_cut_visibly(fault: &str) {
+    let fleet = desk_fleet(1, 1).start().expect("a fleet");
+    let plan = with_header(booking(None, "recorder"), "x-standin-fault", fault);
+    let answer = send(fleet.routers[0].callers, &plan);
+    assert_ne!(answer.verdict, CallVerdict::Complete);
+    assert_ne!(answer.verdict, CallVerdict::NotRun);
+}
+
+#[test]
+fn callers_on_reused_connections_get_their_own_answers() {
+    let fleet = desk_fleet(2, 1).start().expect("a fleet");
+    let router = fleet.routers[0].callers;
+    let callers = (0..8).map(|caller| {
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            runtime.expect("a runtime").block_on(async {
+                let mut connection = None;
+                for number in 0..20 {
+                    let body = format!("own {caller}-{number}");
+                    let plan = booking(None, &body);
+                    let answer = trial::load::call(router, &mut connection, &plan).await;
+                    assert_eq!(answer.verdict, CallVerdict::Complete);
+                    assert!(String::from_utf8_lossy(&answer.body).contains(&format!("\"{body}\"")));
+                }
+            });
+        })
+    });
+    callers
+        .collect::<Vec<_>>()
+        .into_iter()
+        .for_each(|caller| caller.join().expect("a caller"));
+}
+
+#[test]
+fn a_caller_that_goes_away_cancels_its_work_at_the_endpoint() {
+    let fleet = model_fleet(1, Duration::from_millis(50))
+        .start()
+        .expect("a fleet");
+    let plan = completion(1_000);
+    let mut stream = TcpStream::connect(fleet.routers[0].callers).expect("a connection");
+    let head = format!(
+        "POST /v1/plan HTTP/1.1\r\nhost: x\r\nauthorization: Bearer token-skole\r\ncontent-length: {}\r\n\r\n{}",
+        plan.body.len(),
+        plan.body
+    );
+    stream.write_all(head.as_bytes()).expect("a request");
+    let mut bytes = [0; 400];
+    stream
+        .read_exact(&mut bytes)
+        .expect("the begin of an answer");
+    drop(stream);
+    let engine = fleet.endpoints[0].address;
+    let is_idle = || {
+        get_json::<serde_json::Value>(engine, "/state").is_some_and(|state| state["active"] == 0)
+    };
+    assert!(
+        wait_for(Duration::from_secs(3), is_idle),
+        "the engine still works"
+    );
+}
+
+#[test]
+fn a_caller_that_goes_away_while_it_waits_is_not_run() {
+    let fleet = desk_fleet(1, 1).start().expect("a fleet");
+    let router = fleet.routers[0].callers;
+    let busy: Vec<_> = (0..6)
+        .map(|number| {
+            let plan = booking(None, &format!("busy {number}"));
+            support::send_aside(router, with_header(plan, "x-standin-ms", "1200"))
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let mut stream = TcpStream::connect(router).expect("a connection");
+    let request = "POST /bookings HTTP/1.1\r\nhost: x\r\nauthorization: Bearer token-skole\r\n\
+                   content-length: 4\r\n\r\ngone";
+    stream.write_all(request.as_bytes()).expect("a request");
+    std::thread::sleep(Duration::from_millis(200));
+    drop(stream);
+    busy.into_iter().for_each(|caller| {
+        caller.join().expect("a caller");
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(support::effects_of(&fleet, "udlaan", "gone"), 0);
+}
+
+#[test]
+fn bad_callers_get_clear_errors_and_disturb_nobody() {
+    let fleet = desk_fleet(1, 1).start().expect("a fleet");
+    let router = fleet.routers[0].callers;
+    let limit = Duration::from_secs(2);
+    let status = |bytes: &[u8]| {
+        let answer = send_raw(router, bytes, limit);
+        String::from_utf8_lossy(&answer)
+            .get(9..12)
+            .unwrap_or("---")
+            .to_owned()
+    };
+    let close = "connection: close\r\nhost: x\r\n";
+    let known = "authorization: Bearer token-skole\r\n";
+    let cases: [(String, &str); 6] = [
+        ("rubbish\r\n\r\n".into(), "400"),
+        (format!("GET /bookings HTTP/1.1\r\n{close}\r\n"), "401"),
+        (
+            format!("GET /bookings HTTP/1.1\r\n{close}authorization: Bearer no\r\n\r\n"),
+            "401",
+        ),
+        (
+            format!("GET /nowhere HTTP/1.1\r\n{close}{known}\r\n"),
+            "404",
+        ),
+        (
+            format!("POST /bookings HTTP/1.1\r\n{close}{known}content-length: 9999999\r\n\r\n"),
+            "413",
+        ),
+        (
+            format!("POST /bookings HTTP/1.1\r\n{close}{known}cicadalock-timeout-ms: x\r\n\r\n"),
+            "400",
+        ),
+    ];
+    for (bytes, expected) in cases {
+        assert_eq!(status(bytes.as_bytes()), expected, "{bytes}");
+    }
+    // Slow heads hold connections, and nobody else.
+    let slow: Vec<TcpStream> = (0..50)
+        .map(|_| {
+            let mut stream = TcpStream::connect(router).expect("a connection");
+            stream.write_all(b"POST /book").expect("a part of a head");
+            stream
+        })
+        .collect();
+    let started = Instant::now();
+    assert_eq!(
+        send(router, &booking(None, "quick")).verdict,
+        CallVerdict::Complete
+    );
+    assert!(started.elapsed() < Duration::from_secs(2));
+    drop(slow);
+}
+
+#[test]
+fn a_customer_over_its_bound_is_refused_at_once_and_others_are_not() {
+    let fleet = desk_fleet(1, 1)
+        .limits("queue_per_kind = 4")
+        .start()
+        .expect("a fleet");
+    let router = fleet.routers[0].callers;
+    let flood: Vec<_> = (0..30)
+        .map(|number| {
+            let plan = with_header(
+                booking(None, &format!("flood {number}")),
+                "x-standin-ms",
+                "200",
+            );
+            support::send_aside(router, plan)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let mut other = booking(None, "other");
+    other.token = "token-kor".into();
+    assert_eq!(send(router, &other).verdict, CallVerdict::Complete);
+    let answers: Vec<_> = flood
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller"))
+        .collect();
+    let refused = answers.iter().filter(|answer| answer.status == 429).count();
+    assert!(refused > 10, "{refused} of 30 were refused");
+    let effects = fleet.effects("udlaan");
+    let complete = answers
+        .iter()
+        .filter(|answer| answer.verdict == CallVerdict::Complete)
+        .count();
+    assert_eq!(effects.len(), complete + 1);
+}
--- /dev/null
+++ b/crates/trial/tests/membership.rs
@@ -0,0 +1,235 @@
+//! Membership, planned stops and strangers, with real processes.
+
+mod support;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use support::{
+    booking, completion, desk_fleet, effects_of, model_fleet, new_key, send, settle, wait_for,
+};
+use trial::load::{CallVerdict, CallerGroup, LoadRun, LoadStyle};
+
+/// An endpoint that is leaving gets no new work after this time.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+fn served_by(fleet: &trial::fleet::RunningFleet, index: usize) -> usize {
+    let address = fleet.endpoints[index].address;
+    let effects: Option<Vec<serde_json::Value>> = trial::fleet::get_json(address, "/log");
+    effects.map_or(0, |effects| effects.len())
+}
+
+fn send_many(fleet: &trial::fleet::RunningFleet, count: usize) {
+    for number in 0..count {
+        let answer = send(
+            fleet.routers[0].callers,
+            &booking(None, &format!("many {number}")),
+        );
+        assert_eq!(answer.verdict, CallVerdict::Complete);
+    }
+}
+
+#[test]
+fn an_endpoint_that_is_listed_as_leaving_gets_no_new_work() {
+    let mut fleet = desk_fleet(2, 1).start().expect("a fleet");
+    send_many(&fleet, 10);
+    fleet.sidecars[0].state = "leaving";
+    fleet.publish_hosts();
+    std::thread::sleep(LEAVING_LIMIT);
+    let before = served_by(&fleet, 0);
+    send_many(&fleet, 30);
+    assert_eq!(served_by(&fleet, 0), before);
+    fleet.sidecars[0].state = "live";
+    fleet.publish_hosts();
+    std::thread::sleep(LEAVING_LIMIT);
+    send_many(&fleet, 40);
+    assert!(
+        served_by(&fleet, 0) > before,
+        "a returning endpoint is used again"
+    );
+}
+
+#[test]
+fn a_sidecar_told_to_stop_gets_no_new_work_while_the_platform_is_down() {
+    let mut fleet = model_fleet(2, Duration::from_millis(50))
+        .start()
+        .expect("a fleet");
+    fleet.set_platform_mode("down");
+    let router = fleet.routers[0].callers;
+    let streams: Vec<_> = (0..4)
+        .map(|_| support::send_aside(router, completion(80)))
+        .collect();
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.sidecars[0]
+        .child
+        .as_ref()
+        .expect("a sidecar")
+        .terminate();
+    std::thread::sleep(Duration::from_millis(500));
+    let before = served_by(&fleet, 0);
+    for _ in 0..4 {
+        assert_eq!(send(router, &completion(3)).verdict, CallVerdict::Complete);
+    }
+    assert_eq!(served_by(&fleet, 0), before);
+    for stream in streams {
+        assert_eq!(
+            stream.join().expect("a caller").verdict,
+            CallVerdict::Complete
+        );
+    }
+    let child = fleet.sidecars[0].child.as_mut().expect("a sidecar");
+    let status = child
+        .wait(Duration::from_secs(10))
+        .expect("the sidecar ends");
+    assert!(status.success());
+}
+
+#[test]
+fn a_router_and_a_sidecar_told_to_stop_during_a_stream_cut_nothing() {
+    let mut fleet = model_fleet(1, Duration::from_millis(40))
+        .start()
+        .expect("a fleet");
+    let stream = support::send_aside(fleet.routers[0].callers, completion(70));
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.routers[0]
+        .child
+        .as_ref()
+        .expect("a router")
+        .terminate();
+    fleet.sidecars[0]
+        .child
+        .as_ref()
+        .expect("a sidecar")
+        .terminate();
+    assert_eq!(
+        stream.join().expect("a caller").verdict,
+        CallVerdict::Complete
+    );
+    let limit = Duration::from_secs(10);
+    let router = fleet.routers[0]
+        .child
+        .as_mut()
+        .expect("a router")
+        .wait(limit);
+    assert!(router.expect("the router ends").success());
+    let sidecar = fleet.sidecars[0]
+        .child
+        .as_mut()
+        .expect("a sidecar")
+        .wait(limit);
+    assert!(sidecar.expect("the sidecar ends").success());
+}
+
+#[test]
+fn a_dead_endpoint_attracts_no_work_and_is_used_again_when_it_returns() {
+    let mut fleet = desk_fleet(2, 1).start().expect("a fleet");
+    fleet.endpoints[0]
+        .child
+        .as_mut()
+        .expect("an endpoint")
+        .kill();
+    send_many(&fleet, 30);
+    fleet.start_endpoint(0).expect("an endpoint");
+    std::thread::sleep(LEAVING_LIMIT);
+    send_many(&fleet, 40);
+    assert!(served_by(&fleet, 0) > 0);
+}
+
+#[test]
+fn an_empty_or_unreadable_host_list_does_not_empty_the_fleet() {
+    let fleet = desk_fleet(2, 1).start().expect("a fleet");
+    for text in ["{\"hosts\": []}", "{\"hosts\": 3}", "rubbish"] {
+        let _ = trial::fleet::put_text(fleet.platform, "/v1/hosts", text);
+        std::thread::sleep(Duration::from_millis(1_500));
+        let answer = send(fleet.routers[0].callers, &booking(None, text));
+        assert_eq!(answer.verdict, CallVerdict::Complete, "{text}");
+    }
+}
+
+#[test]
+fn strangers_on_the_internal_port_are_dropped_and_disturb_nobody() {
+    let fleet = desk_fleet(1, 1).start().expect("a fleet");
+    let listen = fleet.sidecars[0].listen;
+    let rubbish: [&[u8]; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        &[0xff; 64],
+        &[0, 0, 0, 4, 1, 2, 3, 4],
+        &[0x7f, 0xff, 0xff, 0xff, 0],
+    ];
+    let strangers: Vec<TcpStream> = rubbish
+        .iter()
+        .cycle()
+        .take(40)
+        .map(|bytes| {
+            let mut stream = TcpStream::connect(listen).expect("a connection");
+            let _ = stream.write_all(bytes);
+            stream
+        })
+        .collect();
+    send_many(&fleet, 5);
+    let admin = fleet.sidecars[0].admin;
+    let are_rejected = || {
+        let status = fleet.status(admin).unwrap_or_default();
+        status["counters"]["links.peers_rejected"].as_u64() >= Some(40)
+    };
+    assert!(wait_for(Duration::from_secs(6), are_rejected));
+    drop(strangers);
+    send_many(&fleet, 5);
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_loses_and_repeats_nothing() {
+    let mut fleet = desk_fleet(3, 2).start().expect("a fleet");
+    settle(&fleet);
+    let groups = ["skole", "kor"].map(|customer| CallerGroup {
+        customer: customer.into(),
+        kind: "booking".into(),
+        path: "/bookings".into(),
+        is_model: false,
+        cost: (10, 60),
+        style: LoadStyle::Open(15.0),
+        skew_percent: 0,
+        span: (Duration::ZERO, Duration::from_secs(60)),
+        has_key: false,
+    });
+    let routers = fleet.routers.iter().map(|router| router.callers).collect();
+    let load = LoadRun::start(groups.to_vec(), routers, 7).expect("a load");
+    trial::scenario::FleetEvent::RollAll
+        .apply(&mut fleet, &load)
+        .expect("a rolling restart");
+    std::thread::sleep(Duration::from_millis(500));
+    let records = load.finish(Duration::from_secs(15));
+    let failed: Vec<_> = records
+        .iter()
+        .filter(|record| record.verdict != CallVerdict::Complete)
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "{} of {} failed: {:?}",
+        failed.len(),
+        records.len(),
+        failed.first()
+    );
+    assert!(records.iter().all(|record| record.is_own));
+}
+
+#[test]
+fn a_keyed_booking_survives_the_planned_stop_of_its_home() {
+    let mut fleet = desk_fleet(3, 1).start().expect("a fleet");
+    settle(&fleet);
+    for index in 0..2 {
+        fleet.sidecars[index]
+            .child
+            .as_ref()
+            .expect("a sidecar")
+            .terminate();
+        fleet.sidecars[index].state = "leaving";
+        fleet.publish_hosts();
+        std::thread::sleep(Duration::from_secs(6));
+        let body = format!("after stop {index}");
+        let answer = send(fleet.routers[0].callers, &booking(Some(&new_key()), &body));
+        assert_eq!(answer.verdict, CallVerdict::Complete, "{}", answer.status);
+        assert_eq!(effects_of(&fleet, "udlaan", &body), 1);
+    }
+}
--- /dev/null
+++ b/crates/trial/tests/support/mod.rs
@@ -0,0 +1,145 @@
+//! Helpers shared by the tests with real processes.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use trial::fleet::{FleetBuilder, RunningFleet, ServicePlan};
+use trial::load::{CallAnswer, CallPlan, call};
+
+/// The trial binary, which also runs the product's code and the stand-ins.
+pub fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_trial"))
+}
+
+/// A fleet with a plain service whose bookings may not run twice.
+pub fn desk_fleet(replicas: usize, routers: usize) -> FleetBuilder {
+    FleetBuilder::new(program())
+        .routers(routers)
+        .zones(&["jylland", "fyn", "sjaelland"])
+        .service(ServicePlan {
+            name: "udlaan".into(),
+            is_model: false,
+            replicas,
+            slots: 4,
+            pace: Duration::from_millis(10),
+        })
+        .kind(
+            "name = \"booking\"\nservice = \"udlaan\"\npath = \"/bookings\"\nidempotent = false\n\
+             queue_timeout = \"6s\"\ntimeout = \"12s\"",
+        )
+        .kind(
+            "name = \"lookup\"\nservice = \"udlaan\"\npath = \"/lookup\"\nidempotent = true\n\
+             queue_timeout = \"6s\"\ntimeout = \"12s\"",
+        )
+        .customer("skole", 1)
+        .customer("kor", 1)
+}
+
+/// A fleet with a model that makes a token every `pace`.
+pub fn model_fleet(replicas: usize, pace: Duration) -> FleetBuilder {
+    FleetBuilder::new(program())
+        .zones(&["jylland", "fyn", "sjaelland"])
+        .service(ServicePlan {
+            name: "raadgiver".into(),
+            is_model: true,
+            replicas,
+            slots: 4,
+            pace,
+        })
+        .kind(
+            "name = \"plan\"\nservice = \"raadgiver\"\npath = \"/v1/plan\"\nidempotent = true\n\
+             queue_timeout = \"6s\"\ntimeout = \"20s\"",
+        )
+        .customer("skole", 1)
+        .customer("kor", 1)
+}
+
+/// Waits until keyed requests can run and keys minted now are fresh.
+pub fn settle(fleet: &RunningFleet) {
+    assert!(
+        fleet.wait_for_words(Duration::from_secs(10)),
+        "the homes have no words"
+    );
+    std::thread::sleep(Duration::from_millis(4_000));
+}
+
+/// A booking, with a key if there is one.
+pub fn booking(key: Option<&str>, body: &str) -> CallPlan {
+    let headers = key.map(|key| ("idempotency-key".to_owned(), key.to_owned()));
+    CallPlan {
+        path: "/bookings".into(),
+        token: "token-skole".into(),
+        body: body.into(),
+        headers: headers.into_iter().collect(),
+    }
+}
+
+/// The same request with one more header field.
+pub fn with_header(mut plan: CallPlan, name: &str, value: &str) -> CallPlan {
+    plan.headers.push((name.into(), value.into()));
+    plan
+}
+
+/// A completion of so many tokens.
+pub fn completion(tokens: u32) -> CallPlan {
+    CallPlan {
+        path: "/v1/plan".into(),
+        token: "token-skole".into(),
+        body: format!("{{\"prompt\":\"p\",\"max_tokens\":{tokens},\"stream\":true}}"),
+        headers: Vec::new(),
+    }
+}
+
+/// A key minted now.
+pub fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+/// Sends a request and waits for its end.
+pub fn send(router: SocketAddr, plan: &CallPlan) -> CallAnswer {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .expect("a runtime")
+        .block_on(call(router, &mut None, plan))
+}
+
+/// Sends a request on a thread of its own.
+pub fn send_aside(router: SocketAddr, plan: CallPlan) -> std::thread::JoinHandle<CallAnswer> {
+    std::thread::spawn(move || send(router, &plan))
+}
+
+/// Waits until `condition` holds; returns whether it did within `limit`.
+pub fn wait_for(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if condition() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
+
+/// Number of effects with `body` at the endpoints of `service`.
+pub fn effects_of(fleet: &RunningFleet, service: &str, body: &str) -> usize {
+    fleet
+        .effects(service)
+        .iter()
+        .filter(|effect| effect.body == body)
+        .count()
+}
+
+/// Sends bytes as they are and reads until the end, or for `limit`.
+pub fn send_raw(address: SocketAddr, bytes: &[u8], limit: Duration) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(limit)).expect("a time limit");
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    answer
+}
