fix(core): a withdrawn bid of an idle customer does not keep it active

Cause: set_bid noted a bid even when it withdrew one that was not there, so a customer without work counted as active, kept its low position, and was served ahead of all others on its return. Found by a_customer_that_returns_from_idle_has_no_credit, seen to fail: 15,914 cost units gained against 1,720 of the others in ten seconds. After the change it passes.

--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -132,8 +132,11 @@
             self.lift_customer(customer, now);
             self.lift_kind(customer, kind, now);
         }
+        let had_bid = self.bids.has(customer);
         self.bids.set(link, customer, kind, count, now);
-        self.touch(customer, kind, now);
+        if had_bid || count > 0 {
+            self.touch(customer, kind, now);
+        }
     }
 
     /// Forgets every bid of a router.
