fix(core): debt of a split survives the return of bids

Cause: after a split, a customer's bids reach a sidecar before the other part's reports do; it then counted as returning from idle, and its debt was forgotten at that sidecar. Ruled out: the cap of leads, which was not reached.

--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -64,6 +64,8 @@
     peer_backlogs: i64,
     peer_marks: i64,
     last_bid: Option<ClockTime>,
+    /// The last adjustment on return from idle, and when it was made.
+    lift: Option<(ClockTime, f64)>,
     kinds: SortedMap<KindId, KindAccount>,
 }
 
@@ -230,6 +232,10 @@
         if known.is_some_and(|seen| seen >= (report.incarnation, report.sequence)) {
             return false;
         }
+        let was_silent = self
+            .peers
+            .get(&report.host)
+            .is_some_and(|peer| peer.is_silent(now, PEER_SILENCE_LIMIT));
         let is_first = known.is_none_or(|(incarnation, _)| incarnation != report.incarnation);
         let is_older = report.incarnation < self.incarnation;
         if is_first {
@@ -242,6 +248,9 @@
         let adopts = is_first && is_older && !self.is_adopted;
         for entry in &report.entries {
             self.merge_entry(&report.host, entry, is_first && is_older, adopts);
+            if was_silent && entry.backlogged {
+                self.withdraw_lift(entry.customer, now);
+            }
         }
         if adopts {
             self.is_adopted = true;
@@ -332,6 +341,7 @@
             && let Some(account) = self.accounts.get_mut(&customer)
         {
             account.position += lag;
+            account.lift = Some((now, lag));
         }
     }
 
@@ -449,6 +459,18 @@
         line.backlogged = entry.backlogged;
     }
 
+    /// Takes back a customer's recent adjustment: it was not idle, only out of sight.
+    fn withdraw_lift(&mut self, customer: CustomerId, now: ClockTime) {
+        let Some(account) = self.accounts.get_mut(&customer) else {
+            return;
+        };
+        if let Some((at, lag)) = account.lift.take()
+            && now.since(at) <= PEER_SILENCE_LIMIT
+        {
+            account.position -= lag;
+        }
+    }
+
     /// Moves the marks of every line of a peer to the own totals of now.
     fn mark_heard(&mut self, host: &HostName, sequence: u64, now: ClockTime) {
         let Some(peer) = self.peers.get_mut(host) else {
@@ -498,6 +520,7 @@
             peer_backlogs: 0,
             peer_marks: 0,
             last_bid: None,
+            lift: None,
             kinds: SortedMap::new(),
         }
     }
