--- a/crates/cicadalock-core/src/config/raw.rs
+++ b/crates/cicadalock-core/src/config/raw.rs
@@ -84,7 +84,7 @@
 impl RawConfig {
     /// Reads a text, adding a finding for each thing that has no place in a configuration.
     pub(super) fn parse(source: &ConfigText, findings: &mut Vec<Finding>) -> Self {
-        let reader = RawReader { source };
+        let reader = RawReader::new(source);
         let (root, errors) = DeTable::parse_recoverable(&source.text);
         for error in errors {
             let place = reader.place(error.span().map_or(0, |span| span.start));
@@ -104,9 +104,20 @@
 
 struct RawReader<'a> {
     source: &'a ConfigText,
+    /// Offset of each line's first byte.
+    lines: Vec<usize>,
 }
 
-impl RawReader<'_> {
+impl<'a> RawReader<'a> {
+    fn new(source: &'a ConfigText) -> Self {
+        let ends = source.text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let starts = ends.map(|(offset, _)| offset + 1);
+        Self {
+            source,
+            lines: std::iter::once(0).chain(starts).collect(),
+        }
+    }
+
     fn section(
         &self,
         config: &mut RawConfig,
@@ -158,10 +169,9 @@
     }
 
     fn place(&self, offset: usize) -> Place {
-        let before = self.source.text.as_bytes().iter().take(offset);
         Place {
             file: Arc::clone(&self.source.file),
-            line: 1 + before.filter(|byte| **byte == b'\n').count(),
+            line: self.lines.partition_point(|start| *start <= offset),
         }
     }
 }
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -456,7 +456,18 @@
             account.position += (entry.total - line.total) as f64 / account.share;
         }
         line.total = entry.total;
+        if line.backlogged == entry.backlogged {
+            return;
+        }
         line.backlogged = entry.backlogged;
+        if entry.backlogged {
+            line.own_mark = account.own_total;
+            account.peer_backlogs += 1;
+            account.peer_marks += line.own_mark;
+        } else {
+            account.peer_backlogs -= 1;
+            account.peer_marks -= line.own_mark;
+        }
     }
 
     /// Takes back a customer's recent adjustment: it was not idle, only out of sight.
@@ -478,12 +489,12 @@
         };
         peer.sequence = sequence;
         peer.heard = now;
-        for (customer, line) in peer.lines.iter_mut() {
-            if let Some(account) = self.accounts.get(customer) {
+        for (customer, line) in peer.lines.iter_mut().filter(|(_, line)| line.backlogged) {
+            if let Some(account) = self.accounts.get_mut(customer) {
+                account.peer_marks += account.own_total - line.own_mark;
                 line.own_mark = account.own_total;
             }
         }
-        self.recount_peers();
     }
 
     fn forget_peer(&mut self, host: &HostName) {
--- a/crates/trial/src/cli/flags.rs
+++ b/crates/trial/src/cli/flags.rs
@@ -12,7 +12,8 @@
             optional --seconds seconds: u64
             /// Seed of costs, arrivals and choices of routers.
             optional --seed seed: u64
-            /// How customers are chosen: fleet, sidecar, router or push; `all` runs each.
+            /// How customers are chosen: fleet, sidecar, router or push; `all` runs each; `direct` calls
+            /// the endpoints without routers.
             optional --policy policy: String
             /// Write the measures to a file as JSON.
             optional --json json: PathBuf
@@ -20,9 +21,25 @@
             optional --plot plot: PathBuf
             /// The product's binary; without it the trial binary runs the same code.
             optional --binary binary: PathBuf
+            /// Number of routers.
+            optional --routers routers: usize
+            /// Number of endpoints of each service.
+            optional --replicas replicas: usize
+            /// Number of customers.
+            optional --customers customers: usize
+            /// Requests a second, where the experiment has a rate of its own.
+            optional --rate rate: u32
             /// Print the names of all experiments.
             optional --list
         }
+        /// Measure what the core's parts cost at several sizes and print it as JSON.
+        cmd slopes {
+        }
+        /// Work out what each role costs at the size to come, from measured slopes.
+        cmd capacity {
+            /// File with slopes, as docs/slopes.json.
+            required --slopes slopes: PathBuf
+        }
         /// Run a stand-in platform.
         cmd platform {
             /// Where to listen.
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -2,8 +2,9 @@
 use std::time::Duration;
 
 use super::flags::{Run, Trial, TrialCmd};
+use crate::capacity::{print_capacity, print_slopes};
 use crate::report::{TrialReport, draw_report};
-use crate::scenario::{SCENARIOS, ScenarioOptions, find_scenario, run_scenario};
+use crate::scenario::{SCENARIOS, ScenarioOptions, SizeOptions, find_scenario, run_scenario};
 use crate::standin::{EngineOptions, ServiceOptions, run_engine, run_platform, run_service};
 
 /// Experiment that runs without further arguments.
@@ -25,6 +26,11 @@
     let flags = Trial::from_vec(arguments).unwrap_or_else(|error| error.exit());
     let result = match flags.subcommand {
         TrialCmd::Run(flags) => run(&flags),
+        TrialCmd::Slopes(_) => {
+            print_slopes();
+            Ok(())
+        }
+        TrialCmd::Capacity(flags) => print_capacity(&flags.slopes),
         TrialCmd::Platform(flags) => run_platform(flags.listen),
         TrialCmd::Engine(flags) => parse_span(&flags.token).and_then(|token| {
             run_engine(EngineOptions {
@@ -74,6 +80,12 @@
             policy: policy.to_owned(),
             program: std::env::current_exe()?,
             binary: flags.binary.clone(),
+            sizes: SizeOptions {
+                routers: flags.routers,
+                replicas: flags.replicas,
+                customers: flags.customers,
+                rate: flags.rate,
+            },
         };
         let report = run_scenario(entry, &options)?;
         println!("{report}");
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -8,7 +8,9 @@
 //! | [`load`] | callers |
 //! | [`scenario`] | experiments by name |
 //! | [`report`] | measures, tables and plots |
+//! | [`capacity`] | what each role costs at the size to come |
 
+pub mod capacity;
 pub mod cli;
 pub mod fleet;
 pub mod load;
--- a/crates/trial/src/load/call.rs
+++ b/crates/trial/src/load/call.rs
@@ -88,7 +88,8 @@
     answer.verdict = match (is_whole, answer.status, answer.outcome.as_str()) {
         (false, 0, _) => CallVerdict::Unreachable,
         (false, _, _) => CallVerdict::Broken,
-        (true, _, "complete") => CallVerdict::Complete,
+        // An endpoint that is called without a router tells no outcome.
+        (true, _, "complete") | (true, 200, "") => CallVerdict::Complete,
         (true, _, "not-run") => CallVerdict::NotRun,
         (true, _, _) => CallVerdict::Unknown,
     };
--- a/crates/trial/src/load/caller.rs
+++ b/crates/trial/src/load/caller.rs
@@ -42,6 +42,8 @@
     pub span: (Duration, Duration),
     /// Whether requests carry an idempotency key.
     pub has_key: bool,
+    /// Index of the only address that the group calls; none if it calls all.
+    pub pinned: Option<usize>,
 }
 
 /// One request as its caller saw it.
@@ -232,6 +234,9 @@
 
     fn choose_router(&self, group: &CallerGroup, rng: &mut SmallRng) -> SocketAddr {
         let routers = self.routers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(index) = group.pinned {
+            return routers[index % routers.len()];
+        }
         let first_part = routers.len().div_ceil(10);
         let is_skewed = rng.random_range(0..100) < group.skew_percent;
         let count = if is_skewed { first_part } else { routers.len() };
--- a/crates/trial/src/report/measure.rs
+++ b/crates/trial/src/report/measure.rs
@@ -12,6 +12,12 @@
 /// Types of messages that carry callers' requests and answers.
 const PAYLOAD_TYPES: [&str; 5] = ["chunk", "credit", "end", "hand_over", "head"];
 
+/// Ticks of the kernel's accounting in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Bytes of a page of memory.
+const PAGE_BYTES: f64 = 4_096.0;
+
 /// Part of a run that passes before fairness is measured.
 const WARM_UP_PART: f64 = 0.2;
 
@@ -34,6 +40,10 @@
     pub before: SortedMap<String, Value>,
     /// Traffic counters at the end, by process.
     pub after: SortedMap<String, Value>,
+    /// Processor time, in seconds, and memory, in bytes, at the start, by process.
+    pub use_before: SortedMap<String, (f64, f64)>,
+    /// The same at the end.
+    pub use_after: SortedMap<String, (f64, f64)>,
     /// Reads at the platform during the load.
     pub reads: u64,
     /// Events and when they happened.
@@ -70,7 +80,8 @@
     pub small_wait: Option<WaitFigures>,
     /// Waits of all whole answers.
     pub wait: WaitFigures,
-    /// Service of customers without a part in the flood, in it over before it, in percent.
+    /// Requests of customers without a part in the flood that were served in time, in it over
+    /// before it, in percent.
     pub kept_in_flood_percent: Option<f64>,
     /// Least of the same over customers.
     pub least_kept_percent: Option<f64>,
@@ -78,6 +89,8 @@
     pub control_bytes: (f64, f64),
     /// Control traffic by type of message, summed over nodes.
     pub control: Vec<ControlCount>,
+    /// Processor time and memory by role.
+    pub uses: Vec<RoleUse>,
     /// Reads at the platform a second.
     pub platform_reads: f64,
     /// Keys whose effect was logged more than once.
@@ -132,6 +145,19 @@
     pub total_p99: f64,
 }
 
+/// What the processes of one role use.
+#[derive(Debug, Clone, Serialize)]
+pub struct RoleUse {
+    /// Router, or sidecar of a service.
+    pub role: String,
+    /// Number of processes.
+    pub count: usize,
+    /// Processor time over time: mean and greatest, in percent of a core.
+    pub core_percent: (f64, f64),
+    /// Resident memory: mean and greatest, in MiB.
+    pub memory_mib: (f64, f64),
+}
+
 /// Control traffic of one type of message.
 #[derive(Debug, Clone, Serialize)]
 pub struct ControlCount {
@@ -154,6 +180,50 @@
     }
 }
 
+/// Processor time, in seconds, and resident memory, in bytes, of every router and sidecar.
+#[must_use]
+pub fn process_uses(fleet: &RunningFleet) -> SortedMap<String, (f64, f64)> {
+    let routers = fleet.routers.iter().map(|router| (&router.name, &router.child));
+    let sidecars = fleet.sidecars.iter().map(|sidecar| (&sidecar.name, &sidecar.child));
+    routers
+        .chain(sidecars)
+        .filter_map(|(name, child)| Some((name.clone(), process_use(child.as_ref()?.id())?)))
+        .collect()
+}
+
+fn process_use(id: u32) -> Option<(f64, f64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let pages: f64 = fields.get(21)?.parse().ok()?;
+    Some((ticks / TICKS_PER_SECOND, pages * PAGE_BYTES))
+}
+
+fn role_uses(input: &ReportInput) -> Vec<RoleUse> {
+    let mut roles: SortedMap<String, Vec<(f64, f64)>> = SortedMap::new();
+    for (name, (cpu, memory)) in input.use_after.iter() {
+        let role = name.rsplit_once('-').map_or(name.as_str(), |(role, _)| role);
+        let before = input.use_before.get(name).map_or(0.0, |(cpu, _)| *cpu);
+        let percent = (cpu - before).max(0.0) / input.length.as_secs_f64() * 100.0;
+        let entry = roles.get_or_insert_with(role.to_owned(), Vec::new);
+        entry.push((percent, memory / (1024.0 * 1024.0)));
+    }
+    roles
+        .iter()
+        .map(|(role, uses)| {
+            let cpu: Vec<f64> = uses.iter().map(|(cpu, _)| *cpu).collect();
+            let memory: Vec<f64> = uses.iter().map(|(_, memory)| *memory).collect();
+            let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len() as f64;
+            RoleUse {
+                role: role.clone(),
+                count: uses.len(),
+                core_percent: (mean(&cpu), greatest(&cpu)),
+                memory_mib: (mean(&memory), greatest(&memory)),
+            }
+        })
+        .collect()
+}
+
 impl TrialReport {
     /// Measures an experiment whose endpoints still run.
     #[must_use]
@@ -168,7 +238,7 @@
         let series = service_series(input, &usage);
         let gap_series = gap_series(&input.plan.backlogged, &series);
         let (gap, share_error, least) = fairness(input, &series, &gap_series);
-        let (kept, least_kept) = flood_figures(input, &usage);
+        let (kept, least_kept) = flood_figures(input);
         let small = input.plan.small.as_ref().map(|name| {
             waits(
                 input
@@ -197,6 +267,7 @@
             least_kept_percent: least_kept,
             control_bytes: control_bytes(input),
             control: control_types(input),
+            uses: role_uses(input),
             platform_reads: input.reads as f64 / input.length.as_secs_f64(),
             double_effects: double_effects(&effects),
             false_not_run: false_not_run(input, &effects),
@@ -354,32 +425,32 @@
     }
 }
 
-/// Service of every customer's steady groups in the flood, over the time before it.
+/// A request is served in time if its first byte comes within this time.
+const IN_TIME: Duration = Duration::from_secs(3);
+
+/// Part of other customers' requests that were served in time in the flood, over the time before.
 ///
-/// Whole answers are counted by when they were asked for, so that requests under way at the
-/// flood's begin do not blur the figure.
-fn flood_figures(input: &ReportInput, _usage: &[UsageEntry]) -> (Option<f64>, Option<f64>) {
+/// If every customer floods, the steady groups of all of them are measured.
+fn flood_figures(input: &ReportInput) -> (Option<f64>, Option<f64>) {
     let Some((begin, end, flooding)) = &input.plan.flood else {
         return (None, None);
     };
-    let flooders: Vec<&String> = flooding
-        .iter()
-        .map(|group| &input.plan.groups[*group].customer)
-        .collect();
+    let flooders: Vec<&String> =
+        flooding.iter().map(|group| &input.plan.groups[*group].customer).collect();
     let is_all = flooders.len() >= input.plan.groups.len() / 3;
     let mut shares: SortedMap<&String, [(usize, usize); 2]> = SortedMap::new();
     for record in &input.records {
         let customer = &input.plan.groups[record.group].customer;
-        if flooding.contains(&record.group) || (!is_all && flooders.contains(&customer)) {
-            continue;
-        }
-        let part = usize::from(record.sent >= *begin);
-        if record.sent >= *end {
+        let is_flood = flooding.contains(&record.group);
+        if is_flood || record.sent >= *end || (!is_all && flooders.contains(&customer)) {
             continue;
         }
         let counts = shares.get_or_insert_with(customer, Default::default);
-        counts[part].0 += 1;
-        counts[part].1 += usize::from(record.verdict == CallVerdict::Complete);
+        let part = &mut counts[usize::from(record.sent >= *begin)];
+        part.0 += 1;
+        let is_in_time = record.verdict == CallVerdict::Complete
+            && record.first_byte.is_some_and(|wait| wait <= IN_TIME);
+        part.1 += usize::from(is_in_time);
     }
     let rate = |(asked, whole): (usize, usize)| whole as f64 / asked.max(1) as f64;
     let kept: Vec<f64> = shares
--- a/crates/trial/src/report/mod.rs
+++ b/crates/trial/src/report/mod.rs
@@ -5,6 +5,8 @@
 mod render;
 mod traces;
 
-pub use measure::{ControlCount, GroupCount, ReportInput, TrialReport, WaitFigures};
+pub use measure::{
+    ControlCount, GroupCount, ReportInput, RoleUse, TrialReport, WaitFigures, process_uses,
+};
 pub use plot::draw_report;
 pub use traces::TraceCollector;
--- a/crates/trial/src/scenario/catalogue.rs
+++ b/crates/trial/src/scenario/catalogue.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::FleetEvent;
+use super::run::DIRECT;
 use super::plan::{ScenarioOptions, ScenarioPlan};
 use crate::fleet::{FleetBuilder, ServicePlan};
 use crate::load::{CallerGroup, LoadStyle};
@@ -116,6 +117,9 @@
         latency,
     ),
     entry("rate", "short calls as fast as one router takes them", rate),
+    entry("idle", "no load, for what quiet connections cost", idle),
+    entry("paced", "short calls at a rate, for what a request costs", paced),
+    entry("waiting", "so many customers wait all the time, for what a backlog costs", waiting),
 ];
 
 /// The experiment called `name`.
@@ -148,11 +152,14 @@
     models: usize,
     desks: usize,
 ) -> FleetBuilder {
+    let sizes = &options.sizes;
+    let replicas = |count: usize| if count == 0 { 0 } else { sizes.replicas.unwrap_or(count) };
+    let (models, desks) = (replicas(models), replicas(desks));
     let mut fleet = FleetBuilder::new(options.program.clone())
         .binary(options.binary.clone())
-        .routers(routers)
+        .routers(sizes.routers.unwrap_or(routers))
         .zones(&["jylland", "fyn", "sjaelland"])
-        .limits(&format!("policy = \"{}\"", options.policy));
+        .limits(&format!("policy = \"{}\"", configured_policy(options)));
     if models > 0 {
         fleet = fleet
             .service(ServicePlan {
@@ -189,12 +196,16 @@
                  weight = 1\nestimate = 20\nqueue_timeout = \"30s\"",
             );
     }
-    for index in 0..CUSTOMERS {
+    for index in 0..sizes.customers.unwrap_or(CUSTOMERS).max(CUSTOMERS) {
         fleet = fleet.customer(&customer(index), 1);
     }
     fleet
 }
 
+fn configured_policy(options: &ScenarioOptions) -> &str {
+    if options.policy == DIRECT { "fleet" } else { &options.policy }
+}
+
 fn model_group(options: &ScenarioOptions, index: usize, style: LoadStyle) -> CallerGroup {
     CallerGroup {
         customer: customer(index),
@@ -206,6 +217,7 @@
         skew_percent: 0,
         span: (Duration::ZERO, options.length),
         has_key: false,
+        pinned: None,
     }
 }
 
@@ -430,3 +442,29 @@
     plan.service = DESK.into();
     plan
 }
+
+fn idle(options: &ScenarioOptions) -> ScenarioPlan {
+    plan_of(base_fleet(options, 1, 2, 0), Vec::new())
+}
+
+fn paced(options: &ScenarioOptions) -> ScenarioPlan {
+    let rate = f64::from(options.sizes.rate.unwrap_or(200));
+    let groups = (0..CUSTOMERS).map(|index| CallerGroup {
+        cost: (1, 1),
+        ..desk_group(options, index, LoadStyle::Open(rate / CUSTOMERS as f64))
+    });
+    let mut plan = plan_of(base_fleet(options, 1, 0, 2), groups.collect());
+    plan.service = DESK.into();
+    plan
+}
+
+fn waiting(options: &ScenarioOptions) -> ScenarioPlan {
+    let customers = options.sizes.customers.unwrap_or(CUSTOMERS);
+    let groups = (0..customers).map(|index| CallerGroup {
+        cost: (20, 60),
+        ..model_group(options, index, LoadStyle::Closed(3))
+    });
+    let mut plan = plan_of(base_fleet(options, 2, 4, 0), groups.collect());
+    plan.backlogged = (0..customers).map(customer).collect();
+    plan
+}
--- a/crates/trial/src/scenario/mod.rs
+++ b/crates/trial/src/scenario/mod.rs
@@ -7,5 +7,5 @@
 
 pub use catalogue::{SCENARIOS, find_scenario};
 pub use event::FleetEvent;
-pub use plan::{ScenarioOptions, ScenarioPlan};
-pub use run::run_scenario;
+pub use plan::{ScenarioOptions, ScenarioPlan, SizeOptions};
+pub use run::{DIRECT, run_scenario};
--- a/crates/trial/src/scenario/plan.rs
+++ b/crates/trial/src/scenario/plan.rs
@@ -18,6 +18,21 @@
     pub program: PathBuf,
     /// The product's binary, if it is another one.
     pub binary: Option<PathBuf>,
+    /// Sizes that differ from those of the experiment.
+    pub sizes: SizeOptions,
+}
+
+/// Sizes of an experiment.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SizeOptions {
+    /// Number of routers.
+    pub routers: Option<usize>,
+    /// Number of endpoints of each service.
+    pub replicas: Option<usize>,
+    /// Number of customers.
+    pub customers: Option<usize>,
+    /// Requests a second, where the experiment has a rate of its own.
+    pub rate: Option<u32>,
 }
 
 /// One experiment.
--- a/crates/trial/src/scenario/run.rs
+++ b/crates/trial/src/scenario/run.rs
@@ -1,13 +1,16 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::catalogue::ScenarioEntry;
-use super::plan::ScenarioOptions;
-use crate::load::LoadRun;
-use crate::report::{ReportInput, TraceCollector, TrialReport};
+use super::plan::{ScenarioOptions, ScenarioPlan};
+use crate::load::{CallerGroup, LoadRun, LoadStyle};
+use crate::report::{ReportInput, TraceCollector, TrialReport, process_uses};
 
 /// Longest wait for requests in progress when the load ends.
 const FINISH_LIMIT: Duration = Duration::from_secs(30);
 
+/// Policy that calls the endpoints without routers, for what they can do.
+pub const DIRECT: &str = "direct";
+
 /// Time for keyed requests to become possible after the start of a fleet.
 const SETTLE_TIME: Duration = Duration::from_millis(4_500);
 
@@ -21,14 +24,22 @@
     options: &ScenarioOptions,
 ) -> std::io::Result<TrialReport> {
     let mut plan = entry.plan(options);
+    let is_direct = options.policy == DIRECT;
     let traces = TraceCollector::start()?;
     let mut fleet = plan.fleet.clone().traces(traces.address()).start()?;
     if plan.groups.iter().any(|group| group.has_key) {
         fleet.wait_for_words(SETTLE_TIME);
         std::thread::sleep(SETTLE_TIME);
     }
-    let routers = fleet.routers.iter().map(|router| router.callers).collect();
+    let routers = if is_direct {
+        let endpoints = fleet.endpoints.iter();
+        plan.groups = direct_groups(&plan, endpoints.clone().count());
+        endpoints.map(|endpoint| endpoint.address).collect()
+    } else {
+        fleet.routers.iter().map(|router| router.callers).collect()
+    };
     let before = ReportInput::traffic(&fleet);
+    let use_before = process_uses(&fleet);
     let reads_before = fleet.platform_reads();
     let load = LoadRun::start(plan.groups.clone(), routers, options.seed)?;
     let started_ms = unix_millis();
@@ -41,6 +52,7 @@
     }
     std::thread::sleep(options.length.saturating_sub(load.elapsed()));
     let after = ReportInput::traffic(&fleet);
+    let use_after = process_uses(&fleet);
     let reads = fleet.platform_reads().saturating_sub(reads_before);
     let length = load.elapsed();
     let records = load.finish(FINISH_LIMIT);
@@ -53,6 +65,8 @@
         records,
         before,
         after,
+        use_before,
+        use_after,
         reads,
         applied,
         spans: traces.finish(),
@@ -60,6 +74,20 @@
     Ok(TrialReport::measure(&input, &fleet))
 }
 
+/// Callers that keep every slot of every endpoint busy, without routers.
+fn direct_groups(plan: &ScenarioPlan, endpoints: usize) -> Vec<CallerGroup> {
+    let slots = plan.fleet.find_service(&plan.service).map_or(1, |service| service.slots);
+    let count = plan.groups.len();
+    let pick = |index: usize| plan.groups[index % count].clone();
+    (0..endpoints * slots as usize)
+        .map(|index| CallerGroup {
+            style: LoadStyle::Closed(1),
+            pinned: Some(index % endpoints),
+            ..pick(index)
+        })
+        .collect()
+}
+
 fn unix_millis() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/trial/tests/membership.rs
+++ b/crates/trial/tests/membership.rs
@@ -192,6 +192,7 @@
         skew_percent: 0,
         span: (Duration::ZERO, Duration::from_secs(60)),
         has_key: false,
+        pinned: None,
     });
     let routers = fleet.routers.iter().map(|router| router.callers).collect();
     let load = LoadRun::start(groups.to_vec(), routers, 7).expect("a load");
