feat(core): a home that refuses connections does not stop the other homes

Ruled out: dropping the dead home's word after a time, which would let a sleeping home run a key. Change: a refused connection shows that no process listens; such a home counts as departed until it speaks again. A process that sleeps or is cut off does not refuse. Seen to fail before: keys_of_other_homes_run_on_while_one_sidecar_is_dead, 0 of 12 complete.

--- a/crates/cicadalock-core/src/router/keyed.rs
+++ b/crates/cicadalock-core/src/router/keyed.rs
@@ -10,7 +10,7 @@
 use crate::time::ClockTime;
 
 /// Pause before a home that could not decide is asked again.
-const ASK_AGAIN_DELAY: Duration = Duration::from_millis(100);
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(250);
 
 /// How long a home's answer is awaited before it is asked again.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -229,6 +229,13 @@
         );
     }
 
+    /// Notes that the host of a peer refuses connections; a peer that is connected is not dead.
+    pub fn peer_refused(&mut self, host: &HostName) {
+        if !self.peers.values().any(|peer| peer.host == *host) {
+            self.lease.refused(host);
+        }
+    }
+
     /// Takes in a message.
     pub fn receive(&mut self, link: LinkId, message: PeerMessage, now: ClockTime, wall: WallTime) {
         if self.peers.contains_key(&link) {
--- a/crates/cicadalock-node/src/hub/hub_loop.rs
+++ b/crates/cicadalock-node/src/hub/hub_loop.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cicadalock_core::config::FleetConfig;
-use cicadalock_core::id::{LinkId, Revision};
+use cicadalock_core::id::{HostName, LinkId, Revision};
 use cicadalock_core::member::HostList;
 use cicadalock_core::message::{DocumentMessage, Envelope, FetchDocument, Hello, PeerMessage};
 use cicadalock_core::revision::{Document, DocumentKind};
@@ -38,6 +38,9 @@
     /// Takes in a message.
     fn receive(&mut self, link: LinkId, message: PeerMessage, now: ClockTime);
 
+    /// Notes that nothing listens at the address of a host.
+    fn peer_refused(&mut self, host: &HostName);
+
     /// Takes in an input of the role.
     fn input(&mut self, input: Self::Input, now: ClockTime);
 
@@ -220,6 +223,10 @@
                 self.links.close(link);
                 self.role.link_down(link, now);
             }
+            LinkEvent::Refused { address } => {
+                let refusing = self.hosts.hosts().iter().filter(|host| host.address == address);
+                refusing.for_each(|host| self.role.peer_refused(&host.name));
+            }
         }
     }
 
--- a/crates/cicadalock-node/src/hub/router_role.rs
+++ b/crates/cicadalock-node/src/hub/router_role.rs
@@ -3,7 +3,7 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::config::FleetConfig;
-use cicadalock_core::id::{LinkId, RequestId, Revision};
+use cicadalock_core::id::{HostName, LinkId, RequestId, Revision};
 use cicadalock_core::member::{HostList, HostRole};
 use cicadalock_core::message::{Hello, PeerMessage};
 use cicadalock_core::router::{CallerEvent, CallerRequest, RouterAction, RouterMachine};
@@ -93,6 +93,9 @@
         self.machine.receive(link, message, now);
     }
 
+    /// A router learns of lost sidecars by their connections.
+    fn peer_refused(&mut self, _host: &HostName) {}
+
     fn input(&mut self, input: RouterInput, now: ClockTime) {
         match input {
             RouterInput::Submit { id, call, reply } => {
--- a/crates/cicadalock-node/src/hub/sidecar_role.rs
+++ b/crates/cicadalock-node/src/hub/sidecar_role.rs
@@ -104,6 +104,10 @@
         self.machine.receive(link, message, now, wall);
     }
 
+    fn peer_refused(&mut self, host: &HostName) {
+        self.machine.peer_refused(host);
+    }
+
     fn input(&mut self, input: SidecarInput, now: ClockTime) {
         match input {
             SidecarInput::Progress(grant, cost) => self.machine.progress(grant, cost),
--- a/crates/cicadalock-node/src/links/event.rs
+++ b/crates/cicadalock-node/src/links/event.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use cicadalock_core::id::LinkId;
 use cicadalock_core::message::{Envelope, Hello};
 
@@ -29,4 +31,9 @@
         /// The connection.
         link: LinkId,
     },
+    /// Nothing listens at an address that is to be kept connected.
+    Refused {
+        /// The address.
+        address: SocketAddr,
+    },
 }
--- a/crates/cicadalock-node/src/links/service.rs
+++ b/crates/cicadalock-node/src/links/service.rs
@@ -210,12 +210,19 @@
         let mut pause = DIAL_PAUSES.0;
         while !cancel.is_cancelled() {
             let dialled = tokio::time::timeout(DIAL_LIMIT, TcpStream::connect(target)).await;
-            if let Ok(Ok(stream)) = dialled {
-                let started = tokio::time::Instant::now();
-                self.serve(stream, true).await;
-                if started.elapsed() > DIAL_PAUSES.1 {
-                    pause = DIAL_PAUSES.0;
+            match dialled {
+                Ok(Ok(stream)) => {
+                    let started = tokio::time::Instant::now();
+                    self.serve(stream, true).await;
+                    if started.elapsed() > DIAL_PAUSES.1 {
+                        pause = DIAL_PAUSES.0;
+                    }
                 }
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    let event = LinkEvent::Refused { address: target };
+                    let _ = self.context.events.send_async(event.into()).await;
+                }
+                Ok(Err(_)) | Err(_) => {}
             }
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
--- a/crates/trial/tests/bookings.rs
+++ b/crates/trial/tests/bookings.rs
@@ -280,3 +280,24 @@
     );
     assert_eq!(fresh.verdict, CallVerdict::Complete);
 }
+
+#[test]
+fn keys_of_other_homes_run_on_while_one_sidecar_is_dead() {
+    let mut fleet = desk_fleet(3, 1).start().expect("a fleet");
+    settle(&fleet);
+    fleet.sidecars[0].child.as_mut().expect("a sidecar").kill();
+    // The dead sidecar's last word has run out.
+    std::thread::sleep(Duration::from_secs(3));
+    let callers: Vec<_> = (0..12)
+        .map(|number| {
+            let plan = booking(Some(&new_key()), &format!("dead home {number}"));
+            send_aside(fleet.routers[0].callers, plan)
+        })
+        .collect();
+    let answers: Vec<_> = callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
+    let complete = answers.iter().filter(|answer| answer.verdict == CallVerdict::Complete).count();
+    let unknown = answers.iter().filter(|answer| answer.verdict == CallVerdict::Unknown).count();
+    assert_eq!(complete + unknown, 12);
+    assert!(complete >= 3, "{complete} of 12 complete");
+    assert_eq!(fleet.effects("udlaan").len(), complete);
+}
