--- a/crates/cicadalock-core/src/config/raw.rs
+++ b/crates/cicadalock-core/src/config/raw.rs
@@ -110,7 +110,11 @@
 
 impl<'a> RawReader<'a> {
     fn new(source: &'a ConfigText) -> Self {
-        let ends = source.text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
+        let ends = source
+            .text
+            .bytes()
+            .enumerate()
+            .filter(|(_, byte)| *byte == b'\n');
         let starts = ends.map(|(offset, _)| offset + 1);
         Self {
             source,
--- a/crates/cicadalock-core/tests/fair_share.rs
+++ b/crates/cicadalock-core/tests/fair_share.rs
@@ -287,6 +287,28 @@
     );
 }
 
+#[test]
+fn the_gap_grows_little_with_the_age_of_totals() {
+    for exchange_ms in [500, 2_000, 8_000, 16_000] {
+        let costs = (0..15)
+            .map(|index| if index % 2 == 0 { 20 } else { 200 })
+            .collect();
+        let plan = FleetPlan {
+            sidecars: 20,
+            exchange_ms,
+            costs,
+            ..FleetPlan::default()
+        };
+        let mut fleet = Fleet::new(plan);
+        let (first, second) = greatest_gaps(&mut fleet, 12_000);
+        println!(
+            "exchange {exchange_ms} ms: greatest gap {first:.0}, then {second:.0}; bound {:.0}",
+            fleet.bound()
+        );
+        assert!(first.max(second) <= fleet.bound());
+    }
+}
+
 #[parameterized(
     equal_shares = { vec![1; 15] },
     one_large = { vec![8, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1] },
--- a/crates/cicadalock-node/src/hub/hub_loop.rs
+++ b/crates/cicadalock-node/src/hub/hub_loop.rs
@@ -224,7 +224,11 @@
                 self.role.link_down(link, now);
             }
             LinkEvent::Refused { address } => {
-                let refusing = self.hosts.hosts().iter().filter(|host| host.address == address);
+                let refusing = self
+                    .hosts
+                    .hosts()
+                    .iter()
+                    .filter(|host| host.address == address);
                 refusing.for_each(|host| self.role.peer_refused(&host.name));
             }
         }
--- a/crates/trial/src/capacity/slopes.rs
+++ b/crates/trial/src/capacity/slopes.rs
@@ -4,7 +4,9 @@
 use cicadalock_core::config::{ConfigText, FleetConfig, TokenDigest};
 use cicadalock_core::fair::{GrantScheduler, PeerReport, TotalEntry};
 use cicadalock_core::id::{CustomerId, Incarnation, KindId, LinkId};
-use cicadalock_core::message::{BidLine, BidUpdate, Envelope, PeerMessage, TotalLine, TotalsReport};
+use cicadalock_core::message::{
+    BidLine, BidUpdate, Envelope, PeerMessage, TotalLine, TotalsReport,
+};
 use cicadalock_core::outcome::{BodyDigest, OutcomeLedger, StoredAnswer};
 use cicadalock_core::time::{ClockTime, WallTime};
 use prost::Message;
@@ -47,7 +49,10 @@
     for lines in [1, 15, 45] {
         measure_frames(lines, &mut slopes);
     }
-    println!("{}", serde_json::to_string_pretty(&slopes).unwrap_or_default());
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&slopes).unwrap_or_default()
+    );
 }
 
 fn scheduler(customers: u64, presumes: bool) -> GrantScheduler {
@@ -133,12 +138,18 @@
         ));
     }
     let before = resident_bytes();
-    let kept: Vec<_> =
-        (0..8).map(|_| FleetConfig::read(&ConfigText::new("base", &text), None)).collect();
+    let kept: Vec<_> = (0..8)
+        .map(|_| FleetConfig::read(&ConfigText::new("base", &text), None))
+        .collect();
     let bytes = (resident_bytes() - before).max(0.0) / kept.len() as f64;
     let size = [customers];
     slopes.push(one("configuration memory", &size, bytes, "bytes"));
-    slopes.push(one("configuration length", &size, text.len() as f64, "bytes"));
+    slopes.push(one(
+        "configuration length",
+        &size,
+        text.len() as f64,
+        "bytes",
+    ));
     let text = ConfigText::new("base", &text);
     slopes.push(repeated("configuration check", &size, "ns", || {
         let started = Instant::now();
@@ -150,7 +161,11 @@
 /// Length of the frames whose size depends on customers.
 fn measure_frames(lines: u64, slopes: &mut Vec<PartSlopes>) {
     let wrap = |message| {
-        let envelope = Envelope { config_revision: 42_000, hosts_revision: 42_000, message: Some(message) };
+        let envelope = Envelope {
+            config_revision: 42_000,
+            hosts_revision: 42_000,
+            message: Some(message),
+        };
         envelope.encode_to_vec().len() as f64
     };
     let totals = (0..lines).map(|line| TotalLine {
@@ -159,15 +174,30 @@
         backlogged: true,
         lead: 0.0,
     });
-    let totals = TotalsReport { sequence: 10_000, lines: totals.collect() };
-    slopes.push(one("totals frame", &[lines], wrap(PeerMessage::Totals(totals)), "bytes"));
+    let totals = TotalsReport {
+        sequence: 10_000,
+        lines: totals.collect(),
+    };
+    slopes.push(one(
+        "totals frame",
+        &[lines],
+        wrap(PeerMessage::Totals(totals)),
+        "bytes",
+    ));
     let bids = (0..lines).map(|line| BidLine {
         customer: u32::MAX - line as u32,
         kind: u32::MAX,
         count: 100,
     });
-    let bids = BidUpdate { lines: bids.collect() };
-    slopes.push(one("bid frame", &[lines], wrap(PeerMessage::Bid(bids)), "bytes"));
+    let bids = BidUpdate {
+        lines: bids.collect(),
+    };
+    slopes.push(one(
+        "bid frame",
+        &[lines],
+        wrap(PeerMessage::Bid(bids)),
+        "bytes",
+    ));
 }
 
 /// Memory and time of a remembered key.
@@ -179,7 +209,11 @@
     let started = Instant::now();
     for number in 0..KEYS {
         let minted = start + 10_000 + number;
-        let text = format!("{:08x}-{:04x}-7000-8000-{number:012x}", minted >> 16, minted & 0xffff);
+        let text = format!(
+            "{:08x}-{:04x}-7000-8000-{number:012x}",
+            minted >> 16,
+            minted & 0xffff
+        );
         let Ok(key) = text.parse() else {
             return;
         };
@@ -187,21 +221,25 @@
         let start = WallTime::from_unix_millis(start);
         let customer = CustomerId::new(1);
         ledger.claim(customer, &key, BodyDigest::of(b"body"), start, now);
-        let answer = StoredAnswer { status: 200, headers: Vec::new(), body: vec![0; 256] };
+        let answer = StoredAnswer {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![0; 256],
+        };
         ledger.finish(customer, &key, Some(answer));
     }
     let nanos = started.elapsed().as_nanos() as f64 / KEYS as f64;
     let bytes = (resident_bytes() - before) / KEYS as f64;
-    slopes.push(one("key, with an answer of 256 bytes", &[KEYS], bytes, "bytes"));
+    slopes.push(one(
+        "key, with an answer of 256 bytes",
+        &[KEYS],
+        bytes,
+        "bytes",
+    ));
     slopes.push(one("claim and finish of a key", &[KEYS], nanos, "ns"));
 }
 
-fn repeated(
-    part: &str,
-    size: &[u64],
-    unit: &str,
-    mut measure: impl FnMut() -> f64,
-) -> PartSlopes {
+fn repeated(part: &str, size: &[u64], unit: &str, mut measure: impl FnMut() -> f64) -> PartSlopes {
     let mut values: Vec<f64> = (0..REPEATS).map(|_| measure()).collect();
     values.sort_by(f64::total_cmp);
     PartSlopes {
@@ -224,6 +262,10 @@
 /// Resident memory of this process, in bytes.
 fn resident_bytes() -> f64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: f64 = text.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0.0);
+    let pages: f64 = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|field| field.parse().ok())
+        .unwrap_or(0.0);
     pages * 4_096.0
 }
--- a/crates/trial/src/capacity/table.rs
+++ b/crates/trial/src/capacity/table.rs
@@ -1,23 +1,459 @@
-//! stub
+use std::fmt::Write;
 use std::path::Path;
+
 use serde::{Deserialize, Serialize};
+
 use super::PartSlopes;
-/// a
+
+/// Sizes, rates and limits for which the table is worked out.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct FleetSize {}
-/// b
+pub struct FleetSize {
+    /// Routers.
+    pub routers: f64,
+    /// Sidecars of all services.
+    pub sidecars: f64,
+    /// Models, among which sidecars and customers are spread.
+    pub models: f64,
+    /// Availability zones.
+    pub zones: f64,
+    /// Customers.
+    pub customers: f64,
+    /// Part of the customers that is backlogged.
+    pub backlogged_part: f64,
+    /// Requests a second.
+    pub requests: f64,
+    /// Changes of the configuration a day.
+    pub config_changes: f64,
+    /// Hosts that fail, are restarted or replaced, a day.
+    pub host_changes: f64,
+    /// Sidecars of one service to which a router keeps a connection.
+    pub subset: f64,
+    /// Children of a node in the tree that sums totals up.
+    pub fanout: f64,
+    /// Time between two reports in that tree, in seconds.
+    pub tree_interval: f64,
+    /// Time between two reports between all sidecars, in seconds.
+    pub exchange_interval: f64,
+}
+
+impl FleetSize {
+    /// The size of the users' first letter, with the mechanisms that the page names.
+    #[must_use]
+    pub const fn two_years() -> Self {
+        Self {
+            routers: 2_800.0,
+            sidecars: 10_000.0,
+            models: 16.0,
+            zones: 13.0,
+            customers: 7_200.0,
+            backlogged_part: 0.1,
+            requests: 59_000.0,
+            config_changes: 42_000.0,
+            host_changes: 3_610.0,
+            subset: 20.0,
+            fanout: 5.0,
+            tree_interval: 4.0,
+            exchange_interval: 0.5,
+        }
+    }
+}
+
+/// What one run of processes showed of one role.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct ProcessSlopes {}
-/// c
+pub struct ProcessSlopes {
+    /// Name of the run, as in the page's list of commands.
+    pub run: String,
+    /// `router` or `sidecar`.
+    pub role: String,
+    /// Requests a second of one process.
+    pub requests: f64,
+    /// Connections of one process.
+    pub links: f64,
+    /// Processor time, in percent of a core: mean and greatest of the processes.
+    pub core_percent: [f64; 2],
+    /// Memory, in MiB: mean and greatest.
+    pub memory_mib: [f64; 2],
+    /// Control bytes a second, sent and received: mean.
+    pub control_bytes: f64,
+}
+
+/// Everything that was measured.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Slopes { /// parts
-pub parts: Vec<PartSlopes> }
-/// d
+pub struct Slopes {
+    /// Parts of the core.
+    pub parts: Vec<PartSlopes>,
+    /// Processes.
+    pub processes: Vec<ProcessSlopes>,
+}
+
+/// Limits of the users, for control at one node.
+const CORE_LIMIT_PERCENT: f64 = 1.2;
+const MEMORY_LIMIT_MIB: f64 = 128.0;
+const BYTES_LIMIT: f64 = 3_000.0;
+const READS_LIMIT: f64 = 2_000.0;
+
+const MIB: f64 = 1024.0 * 1024.0;
+const DAY_SECONDS: f64 = 86_400.0;
+
+/// Time for which a watch waits, and between two reads of a process that does not watch, in seconds.
+const WATCH_SECONDS: f64 = 2.0;
+const IDLE_READ_SECONDS: f64 = 120.0;
+
+/// Watching processes of a zone, and documents that each watches.
+const READERS: f64 = 2.0;
+const DOCUMENTS: f64 = 2.0;
+
+/// Bytes of one host in the list, and of one change of the configuration.
+const HOST_BYTES: f64 = 130.0;
+const CHANGE_BYTES: f64 = 200.0;
+
+impl Slopes {
+    /// Median of a part at a size.
+    fn part(&self, name: &str, size: &[u64]) -> f64 {
+        let found = self
+            .parts
+            .iter()
+            .find(|part| part.part == name && part.size == size);
+        found.map_or(f64::NAN, |part| part.value[1])
+    }
+
+    /// Change of a figure from the run with least to the run with most of a quantity.
+    fn slope(
+        &self,
+        role: &str,
+        quantity: fn(&ProcessSlopes) -> f64,
+        figure: fn(&ProcessSlopes) -> f64,
+    ) -> f64 {
+        let mut runs: Vec<&ProcessSlopes> = self
+            .processes
+            .iter()
+            .filter(|run| run.role == role && quantity(run) > 0.0)
+            .collect();
+        runs.sort_by(|left, right| quantity(left).total_cmp(&quantity(right)));
+        let (Some(first), Some(last)) = (runs.first(), runs.last()) else {
+            return f64::NAN;
+        };
+        (figure(last) - figure(first)) / (quantity(last) - quantity(first))
+    }
+
+    /// Least of a figure among the runs of a role.
+    fn base(&self, role: &str, figure: fn(&ProcessSlopes) -> f64) -> f64 {
+        let runs = self.processes.iter().filter(|run| run.role == role);
+        runs.map(figure).fold(f64::INFINITY, f64::min)
+    }
+}
+
+/// The table of the page, worked out from slopes.
 #[must_use]
-pub fn capacity_table(_slopes: &Slopes) -> String { String::new() }
-/// e
+pub fn capacity_table(slopes: &Slopes, size: &FleetSize) -> String {
+    let mut table = String::from(
+        "| role | quantity | worked out as | value | limit | fits |\n|---|---|---|---|---|---|\n",
+    );
+    let mut row =
+        |role: &str, quantity: &str, formula: &str, value: f64, unit: &str, limit: f64| {
+            let (limit, fits) = if limit.is_finite() {
+                (
+                    format!("{} {unit}", round(limit)),
+                    if value <= limit { "yes" } else { "**no**" },
+                )
+            } else {
+                ("—".into(), "—")
+            };
+            let value = round(value);
+            let _ = writeln!(
+                table,
+                "| {role} | {quantity} | {formula} | {value} {unit} | {limit} | {fits} |"
+            );
+        };
+    add_router_rows(slopes, size, &mut row);
+    add_sidecar_rows(slopes, size, &mut row);
+    add_document_rows(slopes, size, &mut row);
+    table
+}
+
+/// Reads slopes from a file and prints the table.
 ///
 /// # Errors
 ///
-/// f
-pub fn print_capacity(_path: &Path) -> std::io::Result<()> { Ok(()) }
+/// Fails if the file cannot be read or holds no slopes.
+pub fn print_capacity(path: &Path) -> std::io::Result<()> {
+    let slopes: Slopes =
+        serde_json::from_str(&std::fs::read_to_string(path)?).map_err(std::io::Error::other)?;
+    print!("{}", capacity_table(&slopes, &FleetSize::two_years()));
+    Ok(())
+}
+
+type AddRow<'a> = &'a mut dyn FnMut(&str, &str, &str, f64, &str, f64);
+
+const NO_LIMIT: f64 = f64::INFINITY;
+
+fn add_router_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+    let requests = size.requests / size.routers;
+    let cpu = slopes.slope("router", |run| run.requests, |run| run.core_percent[0]);
+    let base_cpu = slopes.base("router", |run| run.core_percent[0]);
+    let memory = slopes
+        .slope("router", |run| run.links, |run| run.memory_mib[0])
+        .max(0.0);
+    let base_memory = slopes.base("router", |run| run.memory_mib[0]);
+    let control = slopes.slope("router", |run| run.requests, |run| run.control_bytes);
+    let config = slopes.part("configuration memory", &[7_200]) / MIB;
+    let links = size.models * size.subset;
+    row(
+        "router",
+        "requests",
+        "requests / routers",
+        requests,
+        "a second",
+        NO_LIMIT,
+    );
+    row(
+        "router",
+        "processor, whole path",
+        "base + slope · requests",
+        base_cpu + cpu * requests,
+        "% of a core",
+        CORE_LIMIT_PERCENT,
+    );
+    row(
+        "router",
+        "control bytes",
+        "slope · requests",
+        control * requests,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "router",
+        "connections, to every sidecar",
+        "sidecars",
+        size.sidecars,
+        "",
+        NO_LIMIT,
+    );
+    row(
+        "router",
+        "memory, connected to every sidecar",
+        "base + config + slope · sidecars",
+        base_memory + config + memory * size.sidecars,
+        "MiB",
+        MEMORY_LIMIT_MIB,
+    );
+    row(
+        "router",
+        "connections, subset",
+        "models · subset",
+        links,
+        "",
+        NO_LIMIT,
+    );
+    row(
+        "router",
+        "memory, subset",
+        "base + config + slope · models · subset",
+        base_memory + config + memory * links,
+        "MiB",
+        MEMORY_LIMIT_MIB,
+    );
+}
+
+fn add_sidecar_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+    let requests = size.requests / size.sidecars;
+    let peers = size.sidecars / size.models;
+    let waiting = size.customers * size.backlogged_part / size.models;
+    let cpu = slopes.slope("sidecar", |run| run.requests, |run| run.core_percent[0]);
+    let base_cpu = slopes.base("sidecar", |run| run.core_percent[0]);
+    let memory = slopes
+        .slope("sidecar", |run| run.links, |run| run.memory_mib[0])
+        .max(0.0);
+    let base_memory = slopes.base("sidecar", |run| run.memory_mib[0]);
+    let control = slopes.slope("sidecar", |run| run.requests, |run| run.control_bytes);
+    let frame = slopes.part("totals frame", &[45]) * waiting / 45.0;
+    let merge = slopes.part("merge of one report", &[45, 625]);
+    let grant = slopes.part("grant", &[720, 100]);
+    let full = 2.0 * peers * frame / size.exchange_interval;
+    let tree = (2.0 * size.fanout + 2.0) * frame / size.tree_interval;
+    let depth = (peers.ln() / size.fanout.ln()).ceil();
+    let links = size.routers * size.subset / peers;
+    let config = slopes.part("configuration memory", &[7_200]) / MIB;
+    row(
+        "sidecar",
+        "requests",
+        "requests / sidecars",
+        requests,
+        "a second",
+        NO_LIMIT,
+    );
+    row(
+        "sidecar",
+        "processor, whole path",
+        "base + slope · requests",
+        base_cpu + cpu * requests,
+        "% of a core",
+        CORE_LIMIT_PERCENT,
+    );
+    row(
+        "sidecar",
+        "processor for grants, 720 customers waiting",
+        "grant · requests",
+        grant * requests / 1e7,
+        "% of a core",
+        CORE_LIMIT_PERCENT,
+    );
+    row(
+        "sidecar",
+        "customers waiting at one model",
+        "customers · backlogged / models",
+        waiting,
+        "",
+        NO_LIMIT,
+    );
+    row(
+        "sidecar",
+        "control bytes for requests",
+        "slope · requests",
+        control * requests,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "sidecar",
+        "totals, to every peer",
+        "2 · peers · frame / interval",
+        full,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "sidecar",
+        "processor for merging them",
+        "peers / interval · merge",
+        merge * peers / size.exchange_interval / 1e7,
+        "% of a core",
+        CORE_LIMIT_PERCENT,
+    );
+    row(
+        "sidecar",
+        "totals, tree",
+        "(2 · fanout + 2) · frame / tree interval",
+        tree,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "sidecar",
+        "totals, tree, with control of requests",
+        "sum of both",
+        tree + control * requests,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "sidecar",
+        "age of totals, tree",
+        "depth · tree interval",
+        depth * size.tree_interval,
+        "s",
+        NO_LIMIT,
+    );
+    row(
+        "sidecar",
+        "connections, subset",
+        "routers · subset / peers",
+        links,
+        "",
+        NO_LIMIT,
+    );
+    row(
+        "sidecar",
+        "memory",
+        "base + config + slope · (connections + fanout + 1)",
+        base_memory + config + memory * (links + size.fanout + 1.0),
+        "MiB",
+        MEMORY_LIMIT_MIB,
+    );
+}
+
+fn add_document_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+    let processes = size.routers + size.sidecars;
+    let changes = size.config_changes / DAY_SECONDS;
+    let text = slopes.part("configuration length", &[7_200]);
+    let check = slopes.part("configuration check", &[7_200]);
+    let watches = size.zones * READERS * DOCUMENTS / WATCH_SECONDS;
+    let idle = processes * DOCUMENTS / IDLE_READ_SECONDS;
+    let zone = processes / size.zones;
+    row(
+        "all",
+        "reads at the platform",
+        "zones · 2 readers · 2 documents / 2 s + processes · 2 / 120 s",
+        watches + idle,
+        "a second",
+        READS_LIMIT,
+    );
+    row(
+        "all",
+        "the same with a watch for every process",
+        "processes · changes a second + processes · 2 / 2 s",
+        processes * changes + processes,
+        "a second",
+        READS_LIMIT,
+    );
+    row(
+        "all",
+        "reads when a zone comes back within 10 s",
+        "processes / zones · 2 documents · 2 tries / 10 s",
+        zone * DOCUMENTS * 2.0 / 10.0,
+        "a second",
+        READS_LIMIT,
+    );
+    row(
+        "all",
+        "configuration, whole text for each change",
+        "length · changes a second",
+        text * changes,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "all",
+        "processor for checking it",
+        "check · changes a second",
+        check * changes / 1e7,
+        "% of a core",
+        CORE_LIMIT_PERCENT,
+    );
+    row(
+        "all",
+        "configuration, changed entries only, sent to two",
+        "3 · 200 B · changes a second",
+        3.0 * CHANGE_BYTES * changes,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "all",
+        "host list, whole text for each change",
+        "130 B · processes · changes a second",
+        HOST_BYTES * processes * size.host_changes / DAY_SECONDS,
+        "B/s",
+        BYTES_LIMIT,
+    );
+    row(
+        "all",
+        "host list, changed entries only, sent to two",
+        "3 · 130 B · changes a second",
+        3.0 * HOST_BYTES * size.host_changes / DAY_SECONDS,
+        "B/s",
+        BYTES_LIMIT,
+    );
+}
+
+/// Three significant digits, without an exponent.
+fn round(value: f64) -> String {
+    if value.abs() >= 100.0 {
+        format!("{value:.0}")
+    } else if value.abs() >= 1.0 {
+        format!("{value:.1}")
+    } else {
+        format!("{value:.3}")
+    }
+}
--- a/crates/trial/src/report/measure.rs
+++ b/crates/trial/src/report/measure.rs
@@ -183,8 +183,14 @@
 /// Processor time, in seconds, and resident memory, in bytes, of every router and sidecar.
 #[must_use]
 pub fn process_uses(fleet: &RunningFleet) -> SortedMap<String, (f64, f64)> {
-    let routers = fleet.routers.iter().map(|router| (&router.name, &router.child));
-    let sidecars = fleet.sidecars.iter().map(|sidecar| (&sidecar.name, &sidecar.child));
+    let routers = fleet
+        .routers
+        .iter()
+        .map(|router| (&router.name, &router.child));
+    let sidecars = fleet
+        .sidecars
+        .iter()
+        .map(|sidecar| (&sidecar.name, &sidecar.child));
     routers
         .chain(sidecars)
         .filter_map(|(name, child)| Some((name.clone(), process_use(child.as_ref()?.id())?)))
@@ -202,7 +208,9 @@
 fn role_uses(input: &ReportInput) -> Vec<RoleUse> {
     let mut roles: SortedMap<String, Vec<(f64, f64)>> = SortedMap::new();
     for (name, (cpu, memory)) in input.use_after.iter() {
-        let role = name.rsplit_once('-').map_or(name.as_str(), |(role, _)| role);
+        let role = name
+            .rsplit_once('-')
+            .map_or(name.as_str(), |(role, _)| role);
         let before = input.use_before.get(name).map_or(0.0, |(cpu, _)| *cpu);
         let percent = (cpu - before).max(0.0) / input.length.as_secs_f64() * 100.0;
         let entry = roles.get_or_insert_with(role.to_owned(), Vec::new);
@@ -435,8 +443,10 @@
     let Some((begin, end, flooding)) = &input.plan.flood else {
         return (None, None);
     };
-    let flooders: Vec<&String> =
-        flooding.iter().map(|group| &input.plan.groups[*group].customer).collect();
+    let flooders: Vec<&String> = flooding
+        .iter()
+        .map(|group| &input.plan.groups[*group].customer)
+        .collect();
     let is_all = flooders.len() >= input.plan.groups.len() / 3;
     let mut shares: SortedMap<&String, [(usize, usize); 2]> = SortedMap::new();
     for record in &input.records {
--- a/crates/trial/src/report/render.rs
+++ b/crates/trial/src/report/render.rs
@@ -47,6 +47,14 @@
                 count.name
             )?;
         }
+        for role in &self.uses {
+            let (cpu, memory) = (role.core_percent, role.memory_mib);
+            writeln!(
+                formatter,
+                "{} x {}: core mean {:.2} % greatest {:.2} %, memory mean {:.1} greatest {:.1} MiB",
+                role.count, role.role, cpu.0, cpu.1, memory.0, memory.1
+            )?;
+        }
         writeln!(
             formatter,
             "platform reads a second: {:.1}",
--- a/crates/trial/src/scenario/catalogue.rs
+++ b/crates/trial/src/scenario/catalogue.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use super::FleetEvent;
-use super::run::DIRECT;
 use super::plan::{ScenarioOptions, ScenarioPlan};
+use super::run::DIRECT;
 use crate::fleet::{FleetBuilder, ServicePlan};
 use crate::load::{CallerGroup, LoadStyle};
 
@@ -118,8 +118,16 @@
     ),
     entry("rate", "short calls as fast as one router takes them", rate),
     entry("idle", "no load, for what quiet connections cost", idle),
-    entry("paced", "short calls at a rate, for what a request costs", paced),
-    entry("waiting", "so many customers wait all the time, for what a backlog costs", waiting),
+    entry(
+        "paced",
+        "short calls at a rate, for what a request costs",
+        paced,
+    ),
+    entry(
+        "waiting",
+        "so many customers wait all the time, for what a backlog costs",
+        waiting,
+    ),
 ];
 
 /// The experiment called `name`.
@@ -153,7 +161,13 @@
     desks: usize,
 ) -> FleetBuilder {
     let sizes = &options.sizes;
-    let replicas = |count: usize| if count == 0 { 0 } else { sizes.replicas.unwrap_or(count) };
+    let replicas = |count: usize| {
+        if count == 0 {
+            0
+        } else {
+            sizes.replicas.unwrap_or(count)
+        }
+    };
     let (models, desks) = (replicas(models), replicas(desks));
     let mut fleet = FleetBuilder::new(options.program.clone())
         .binary(options.binary.clone())
@@ -203,7 +217,11 @@
 }
 
 fn configured_policy(options: &ScenarioOptions) -> &str {
-    if options.policy == DIRECT { "fleet" } else { &options.policy }
+    if options.policy == DIRECT {
+        "fleet"
+    } else {
+        &options.policy
+    }
 }
 
 fn model_group(options: &ScenarioOptions, index: usize, style: LoadStyle) -> CallerGroup {
--- a/crates/trial/src/scenario/run.rs
+++ b/crates/trial/src/scenario/run.rs
@@ -76,7 +76,10 @@
 
 /// Callers that keep every slot of every endpoint busy, without routers.
 fn direct_groups(plan: &ScenarioPlan, endpoints: usize) -> Vec<CallerGroup> {
-    let slots = plan.fleet.find_service(&plan.service).map_or(1, |service| service.slots);
+    let slots = plan
+        .fleet
+        .find_service(&plan.service)
+        .map_or(1, |service| service.slots);
     let count = plan.groups.len();
     let pick = |index: usize| plan.groups[index % count].clone();
     (0..endpoints * slots as usize)
--- a/crates/trial/tests/bookings.rs
+++ b/crates/trial/tests/bookings.rs
@@ -294,9 +294,18 @@
             send_aside(fleet.routers[0].callers, plan)
         })
         .collect();
-    let answers: Vec<_> = callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
-    let complete = answers.iter().filter(|answer| answer.verdict == CallVerdict::Complete).count();
-    let unknown = answers.iter().filter(|answer| answer.verdict == CallVerdict::Unknown).count();
+    let answers: Vec<_> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("a caller"))
+        .collect();
+    let complete = answers
+        .iter()
+        .filter(|answer| answer.verdict == CallVerdict::Complete)
+        .count();
+    let unknown = answers
+        .iter()
+        .filter(|answer| answer.verdict == CallVerdict::Unknown)
+        .count();
     assert_eq!(complete + unknown, 12);
     assert!(complete >= 3, "{complete} of 12 complete");
     assert_eq!(fleet.effects("udlaan").len(), complete);
--- /dev/null
+++ b/crates/trial/tests/capacity_page.rs
@@ -0,0 +1,20 @@
+//! The capacity page against the slopes that it is worked out from.
+
+use std::path::Path;
+
+use trial::capacity::{FleetSize, Slopes, capacity_table};
+
+#[test]
+fn the_page_holds_the_table_of_the_slopes() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let read = |name: &str| std::fs::read_to_string(docs.join(name)).expect("a file");
+    let slopes: Slopes = serde_json::from_str(&read("slopes.json")).expect("slopes");
+    let page = read("CAPACITY.md");
+    let begin =
+        page.find("<!-- table -->\n").expect("the table's begin") + "<!-- table -->\n".len();
+    let end = page.find("<!-- end -->").expect("the table's end");
+    assert_eq!(
+        &page[begin..end],
+        capacity_table(&slopes, &FleetSize::two_years())
+    );
+}
