fix(core): a peer counts as silent by the exchange interval, not by a fixed time

Cause: peers were dropped from the presumption after 2 s, so totals older than that made sidecars herd again. Change: a peer is silent after four missed intervals.

--- a/crates/cicadalock-core/src/config/fleet_config.rs
+++ b/crates/cicadalock-core/src/config/fleet_config.rs
@@ -135,6 +135,7 @@
     pub fn scheduler(&self, service: &ServiceConfig) -> SchedulerBuilder {
         let mut builder = GrantScheduler::builder()
             .debt_cap(service.debt_cap)
+            .exchange_interval(self.limits.exchange_interval)
             .presume_peers(self.limits.policy == SharingPolicy::Fleet);
         for customer in &self.customers {
             builder = builder.customer(customer.id, customer.share);
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -11,8 +11,11 @@
 /// A customer without bids for longer than this counts as idle.
 const IDLE_GRACE: Duration = Duration::from_millis(1_000);
 
-/// A peer that is silent for longer than this is no longer presumed to grant.
-const PEER_SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// A peer that misses so many reports in a row is no longer presumed to grant.
+const MISSED_REPORTS_LIMIT: u32 = 4;
+
+/// Default time between two reports of a peer.
+const DEFAULT_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Default of the greatest lead of one customer over another, in cost units by share.
 const DEFAULT_DEBT_CAP: f64 = 1_000_000.0;
@@ -35,6 +38,8 @@
     debt_cap: f64,
     is_adopted: bool,
     presumes_peers: bool,
+    /// A peer that is silent for longer is no longer presumed to grant.
+    silence_limit: Duration,
 }
 
 /// What was picked, already charged with its estimate.
@@ -112,6 +117,7 @@
             .collect();
         self.debt_cap = builder.debt_cap;
         self.presumes_peers = builder.presumes_peers;
+        self.silence_limit = builder.exchange_interval * MISSED_REPORTS_LIMIT;
         self.recount_peers();
     }
 
@@ -235,7 +241,7 @@
         let was_silent = self
             .peers
             .get(&report.host)
-            .is_some_and(|peer| peer.is_silent(now, PEER_SILENCE_LIMIT));
+            .is_some_and(|peer| peer.is_silent(now, self.silence_limit));
         let is_first = known.is_none_or(|(incarnation, _)| incarnation != report.incarnation);
         let is_older = report.incarnation < self.incarnation;
         if is_first {
@@ -263,7 +269,7 @@
     pub fn tick(&mut self, now: ClockTime) {
         let mut silent = false;
         for peer in self.peers.values_mut() {
-            if peer.is_silent(now, PEER_SILENCE_LIMIT) {
+            if peer.is_silent(now, self.silence_limit) {
                 for line in peer.lines.values_mut() {
                     silent |= line.backlogged;
                     line.backlogged = false;
@@ -476,7 +482,7 @@
             return;
         };
         if let Some((at, lag)) = account.lift.take()
-            && now.since(at) <= PEER_SILENCE_LIMIT
+            && now.since(at) <= self.silence_limit
         {
             account.position -= lag;
         }
@@ -554,6 +560,7 @@
     incarnation: Incarnation,
     debt_cap: f64,
     presumes_peers: bool,
+    exchange_interval: Duration,
 }
 
 impl SchedulerBuilder {
@@ -593,6 +600,13 @@
         self
     }
 
+    /// Sets the time between two reports of a peer.
+    #[must_use]
+    pub const fn exchange_interval(mut self, interval: Duration) -> Self {
+        self.exchange_interval = interval;
+        self
+    }
+
     /// Builds the scheduler.
     #[must_use]
     pub fn build(self) -> GrantScheduler {
@@ -607,6 +621,7 @@
             debt_cap: self.debt_cap,
             is_adopted: false,
             presumes_peers: self.presumes_peers,
+            silence_limit: Duration::ZERO,
         };
         scheduler.reconfigure(self);
         scheduler
@@ -621,6 +636,7 @@
             incarnation: Incarnation::default(),
             debt_cap: DEFAULT_DEBT_CAP,
             presumes_peers: true,
+            exchange_interval: DEFAULT_EXCHANGE_INTERVAL,
         }
     }
 }
--- a/crates/cicadalock-core/tests/fair_share.rs
+++ b/crates/cicadalock-core/tests/fair_share.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use cicadalock_core::fair::{GrantScheduler, PeerReport};
 use cicadalock_core::id::{CustomerId, HostName, Incarnation, KindId, LinkId};
 use cicadalock_core::time::ClockTime;
@@ -114,6 +116,7 @@
         let mut builder = GrantScheduler::builder()
             .incarnation(incarnation)
             .presume_peers(self.plan.presumes)
+            .exchange_interval(Duration::from_millis(self.plan.exchange_ms))
             .kind(KIND, 1, 25);
         for (customer, share) in self.plan.shares.iter().enumerate() {
             builder = builder.customer(id(customer), *share);
