fix(core): callers that leave no longer pause their endpoint

Cause: a call that was ended because nobody took its answer counted as a failure of the endpoint; two customers whose callers left in turn paused it. And an endpoint that answered every call of the only customer with 500 was never paused. Seen to fail before: callers_that_leave and many_errors_of_the_only_customer of the table test an_endpoint_is_paused_for_its_own_failures_only. Change: such calls end as abandoned; eight failing answers in a row count even of one customer.

--- /dev/null
+++ b/crates/cicadalock-core/examples/fair_queue.rs
@@ -0,0 +1,37 @@
+//! A program of its own that shares one worker fairly between customers with the scheduler.
+//!
+//! Run with `cargo run -p cicadalock-core --example fair_queue`.
+
+use cicadalock_core::fair::GrantScheduler;
+use cicadalock_core::id::{CustomerId, KindId, LinkId};
+use cicadalock_core::time::ClockTime;
+
+/// Requests that the worker runs.
+const RUNS: usize = 60;
+
+fn main() {
+    let kind = KindId::new(1);
+    let (choir, school) = (CustomerId::new(1), CustomerId::new(2));
+    let mut scheduler = GrantScheduler::builder()
+        .customer(choir, 1)
+        .customer(school, 2)
+        .kind(kind, 1, 10)
+        .build();
+    let mut now = ClockTime::default();
+    // The choir floods; the school sends a few requests, and has twice the share.
+    scheduler.set_bid(LinkId::new(1), choir, kind, 10_000, now);
+    scheduler.set_bid(LinkId::new(2), school, kind, 40, now);
+    let mut runs = [0, 0];
+    for _ in 0..RUNS {
+        let Some(pick) = scheduler.pick(now) else {
+            break;
+        };
+        // The estimate was charged; the true cost is settled when the work is done.
+        let cost = 12;
+        scheduler.charge(pick.customer, pick.kind, cost - pick.estimate);
+        scheduler.observe(pick.customer, pick.kind, cost);
+        runs[usize::from(pick.customer == school)] += 1;
+        now = now + std::time::Duration::from_millis(5);
+    }
+    println!("choir: {} runs, school: {} runs", runs[0], runs[1]);
+}
--- a/crates/cicadalock-core/src/sidecar/action.rs
+++ b/crates/cicadalock-core/src/sidecar/action.rs
@@ -71,4 +71,6 @@
     },
     /// The answer broke off or did not come; the request may have run.
     Broken,
+    /// The call was ended because nobody takes its answer; the request may have run.
+    Abandoned,
 }
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -48,6 +48,8 @@
     pub(super) desk: HandOffDesk,
     pub(super) actions: Vec<SidecarAction>,
     pub(super) last_failed: Option<CustomerId>,
+    /// Failing answers of the endpoint since its last good one.
+    pub(super) failures_in_row: u32,
     pub(super) is_stopping: bool,
     pub(super) is_listed_leaving: bool,
     pub(super) exchanged: ClockTime,
@@ -129,6 +131,7 @@
             desk: HandOffDesk::default(),
             actions: Vec::new(),
             last_failed: None,
+            failures_in_row: 0,
             is_stopping: false,
             is_listed_leaving: false,
             exchanged: ClockTime::default(),
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -16,6 +16,9 @@
 /// Bits of a pushed grant's number below those that its link changes.
 const PUSH_LINK_SHIFT: u32 = 40;
 
+/// Failing answers in a row after which they count even if one customer alone sees them.
+const FAILURES_OF_ONE_LIMIT: u32 = 8;
+
 /// HTTP statuses from here on tell of a failing endpoint.
 const FIRST_FAILURE_STATUS: u16 = 500;
 
@@ -229,7 +232,7 @@
             .charge(grant.customer, grant.kind, cost - grant.charged);
         let number = own_grant(grant.link, id.get());
         let key = grant.key().cloned();
-        match result {
+        match result.clone() {
             CallResult::NotReached => {
                 self.backoff.fail(now);
                 self.not_run(&grant, key.as_ref(), number, refusal_reason::ENDPOINT_DOWN);
@@ -244,8 +247,10 @@
                     self.ledger.finish(grant.customer, &key, kept);
                 }
             }
-            CallResult::Broken => {
-                self.judge_status(grant.customer, FIRST_FAILURE_STATUS, now);
+            CallResult::Broken | CallResult::Abandoned => {
+                if result == CallResult::Broken {
+                    self.judge_status(grant.customer, FIRST_FAILURE_STATUS, now);
+                }
                 if let Some(key) = key {
                     self.ledger.finish(grant.customer, &key, None);
                 }
@@ -266,12 +271,18 @@
         self.refuse(grant.link, number, reason);
     }
 
-    /// Counts failing answers; repeated ones count only if more than one customer sees them.
+    /// Counts failing answers.
+    ///
+    /// Repeated ones of one customer count only when they are many, for they may be its own fault.
     fn judge_status(&mut self, customer: CustomerId, status: u16, now: ClockTime) {
         if status < FIRST_FAILURE_STATUS {
             self.backoff.succeed();
             self.last_failed = None;
-        } else if self.last_failed != Some(customer) {
+            self.failures_in_row = 0;
+            return;
+        }
+        self.failures_in_row += 1;
+        if self.last_failed != Some(customer) || self.failures_in_row >= FAILURES_OF_ONE_LIMIT {
             self.last_failed = Some(customer);
             self.backoff.fail(now);
         }
--- /dev/null
+++ b/crates/cicadalock-core/tests/sidecar_endpoint.rs
@@ -0,0 +1,97 @@
+//! What a sidecar makes of its endpoint's failures.
+
+mod support;
+
+use std::sync::Arc;
+
+use cicadalock_core::config::FleetConfig;
+use cicadalock_core::id::{HostName, Incarnation, LinkId};
+use cicadalock_core::message::{BidLine, BidUpdate, HandOver, PeerMessage};
+use cicadalock_core::sidecar::{CallResult, RunOrder, SidecarAction, SidecarMachine};
+use cicadalock_core::time::{ClockTime, WallTime};
+use support::desk_config;
+use yare::parameterized;
+
+const ROUTER: LinkId = LinkId::new(1);
+const NOW: ClockTime = ClockTime::from_millis(1_000);
+const WALL: WallTime = WallTime::from_unix_millis(1_000);
+
+fn machine(config: &Arc<FleetConfig>) -> SidecarMachine {
+    let host: HostName = "s0".parse().expect("a name");
+    let mut machine = SidecarMachine::builder(host, "udlaan".parse().expect("a name"))
+        .incarnation(Incarnation::new(1))
+        .build();
+    machine.set_config(Arc::clone(config), WALL);
+    machine.router_up(ROUTER, "r0".parse().expect("a name"), NOW);
+    machine
+}
+
+/// Lets one request of a customer start and returns its order.
+fn start_one(machine: &mut SidecarMachine, config: &FleetConfig, customer: usize) -> RunOrder {
+    let customer = config.customers()[customer].id.get();
+    let kind = config.kinds()[0].id.get();
+    let lines = vec![BidLine {
+        customer,
+        kind,
+        count: 1,
+    }];
+    machine.receive(ROUTER, PeerMessage::Bid(BidUpdate { lines }), NOW, WALL);
+    let grant = machine
+        .take_actions(NOW, WALL)
+        .into_iter()
+        .find_map(|action| match action {
+            SidecarAction::Send {
+                message: PeerMessage::Grant(grant),
+                ..
+            } => Some(grant.grant),
+            _ => None,
+        });
+    let request = HandOver {
+        grant: grant.expect("a grant"),
+        customer,
+        kind,
+        remaining_ms: 5_000,
+        ..HandOver::default()
+    };
+    machine.receive(ROUTER, PeerMessage::HandOver(request), NOW, WALL);
+    let order = machine
+        .take_actions(NOW, WALL)
+        .into_iter()
+        .find_map(|action| match action {
+            SidecarAction::Start(order) => Some(*order),
+            _ => None,
+        });
+    order.expect("an order")
+}
+
+/// Whether the endpoint is paused after calls of customers in turn have ended so.
+fn is_paused(customers: usize, calls: usize, result: &CallResult) -> bool {
+    let config = desk_config(customers);
+    let mut machine = machine(&config);
+    for call in 0..calls {
+        if machine.report(NOW).is_failing {
+            return true;
+        }
+        let order = start_one(&mut machine, &config, call % customers);
+        machine.ended(order.grant, result.clone(), 1, NOW);
+    }
+    machine.report(NOW).is_failing
+}
+
+#[parameterized(
+    not_reached = { 1, 2, CallResult::NotReached, true },
+    errors_of_two_customers = { 2, 2, CallResult::Complete { status: 500, kept: None }, true },
+    a_few_errors_of_one_customer = { 1, 4, CallResult::Complete { status: 500, kept: None }, false },
+    many_errors_of_the_only_customer = { 1, 20, CallResult::Complete { status: 500, kept: None }, true },
+    errors_of_the_request = { 2, 20, CallResult::Complete { status: 404, kept: None }, false },
+    answers_broken_by_the_endpoint = { 2, 2, CallResult::Broken, true },
+    callers_that_leave = { 2, 20, CallResult::Abandoned, false },
+)]
+fn an_endpoint_is_paused_for_its_own_failures_only(
+    customers: usize,
+    calls: usize,
+    result: CallResult,
+    expected: bool,
+) {
+    assert_eq!(is_paused(customers, calls, &result), expected);
+}
--- a/crates/cicadalock-node/src/endpoint/call.rs
+++ b/crates/cicadalock-node/src/endpoint/call.rs
@@ -106,7 +106,7 @@
         }
         let state = match &result {
             CallResult::Complete { .. } => Some(end_state::COMPLETE),
-            CallResult::Broken => Some(end_state::BROKEN),
+            CallResult::Broken | CallResult::Abandoned => Some(end_state::BROKEN),
             // The hub refuses the request as not run.
             CallResult::NotReached | CallResult::TooLate => None,
         };
@@ -141,6 +141,7 @@
             () = self.abort.cancelled() => None,
             () = tokio::time::sleep(limit) => None,
         };
+        let is_abandoned = self.abort.is_cancelled() || relay.is_cut();
         let cost = match (self.call.protocol, &meter) {
             (ServiceProtocol::Completions, Some(meter)) => meter.tokens(),
             (ServiceProtocol::Completions, None) => 0,
@@ -154,6 +155,7 @@
                 },
                 cost,
             ),
+            None if is_abandoned => (CallResult::Abandoned, cost),
             None => (CallResult::Broken, cost),
         }
     }
@@ -275,7 +277,7 @@
         match result {
             CallResult::NotReached => self.metrics.add(Metric::CallsNotReached, 1),
             CallResult::Broken => self.metrics.add(Metric::CallsBroken, 1),
-            CallResult::TooLate | CallResult::Complete { .. } => {}
+            CallResult::TooLate | CallResult::Complete { .. } | CallResult::Abandoned => {}
         }
     }
 
@@ -313,6 +315,7 @@
         CallResult::TooLate => "too late",
         CallResult::Complete { .. } => "complete",
         CallResult::Broken => "broken",
+        CallResult::Abandoned => "abandoned",
     }
 }
 
--- a/crates/cicadalock-node/src/endpoint/relay.rs
+++ b/crates/cicadalock-node/src/endpoint/relay.rs
@@ -76,6 +76,11 @@
         !self.is_cut
     }
 
+    /// Tells whether nobody takes the answer any more.
+    pub(super) const fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
     /// Tells the router how the answer ended.
     pub(super) async fn end(&mut self, state: u32) {
         let end = AnswerEnd {
--- a/crates/trial/tests/answers.rs
+++ b/crates/trial/tests/answers.rs
@@ -226,3 +226,31 @@
         .count();
     assert_eq!(effects.len(), complete + 1);
 }
+
+#[test]
+fn callers_that_leave_do_not_make_their_endpoint_look_broken() {
+    let fleet = model_fleet(1, Duration::from_millis(20))
+        .start()
+        .expect("a fleet");
+    for number in 0..8 {
+        let token = if number % 2 == 0 {
+            "token-skole"
+        } else {
+            "token-kor"
+        };
+        let body = completion(1_000).body;
+        let head = format!(
+            "POST /v1/plan HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut stream = TcpStream::connect(fleet.routers[0].callers).expect("a connection");
+        stream.write_all(head.as_bytes()).expect("a request");
+        let mut bytes = [0; 200];
+        stream
+            .read_exact(&mut bytes)
+            .expect("the begin of an answer");
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let status = fleet.status(fleet.sidecars[0].admin).expect("a status");
+    assert_eq!(status["role"]["is_failing"], false);
+}
--- a/crates/trial/tests/bookings.rs
+++ b/crates/trial/tests/bookings.rs
@@ -310,3 +310,30 @@
     assert!(complete >= 3, "{complete} of 12 complete");
     assert_eq!(fleet.effects("udlaan").len(), complete);
 }
+
+#[test]
+fn the_fence_number_grows_and_endpoints_that_check_it_refuse_an_old_sidecar() {
+    let mut fleet = desk_fleet(1, 1).checked_fences().start().expect("a fleet");
+    let router = fleet.routers[0].callers;
+    assert_eq!(
+        send(router, &booking(None, "first")).verdict,
+        CallVerdict::Complete
+    );
+    fleet.sidecars[0].child.as_mut().expect("a sidecar").kill();
+    fleet.start_sidecar(0).expect("a sidecar");
+    assert!(wait_for(Duration::from_secs(5), || fleet.is_ready()));
+    assert_eq!(
+        send(router, &booking(None, "second")).verdict,
+        CallVerdict::Complete
+    );
+    let effects = fleet.effects("udlaan");
+    assert!(effects[0].fence < effects[1].fence, "{effects:?}");
+    // The old sidecar wakes and calls the endpoint.
+    let late = with_header(
+        booking(None, "late"),
+        "cicadalock-fence",
+        &effects[0].fence.to_string(),
+    );
+    assert_eq!(send(fleet.endpoints[0].address, &late).status, 412);
+    assert_eq!(effects_of(&fleet, "udlaan", "late"), 0);
+}
