fix(core): no overflow from what peers, engines and configurations tell

Cause: a peer's total of the least number overflowed, a time of centuries was accepted and would overflow when multiplied, and an engine's usage was believed without a bound. Change: sums saturate, leads must be finite, times end at 24 h, usage at 10^9 tokens. Also: the trial's kill experiments drop dead hosts from the list after 3 s.

--- a/crates/cicadalock-core/src/config/reader.rs
+++ b/crates/cicadalock-core/src/config/reader.rs
@@ -6,6 +6,9 @@
 use super::Finding;
 use super::raw::{RawField, RawItem, RawValue};
 
+/// Longest time that can be set.
+const LONGEST_SPAN: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Reads the fields of one table, collecting findings.
 pub(super) struct ItemReader<'a> {
     item: &'a RawItem,
@@ -87,6 +90,7 @@
             return self.reject(key, "must be a text with a unit, such as \"30s\"");
         };
         match humantime::parse_duration(&text) {
+            Ok(span) if span > LONGEST_SPAN => self.reject(key, "must not exceed 24h"),
             Ok(span) if !span.is_zero() => Some(span),
             Ok(_) => self.reject(key, "must be longer than zero"),
             Err(_) => self.reject(
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -67,7 +67,7 @@
     reported_backlog: bool,
     /// Peers with a backlog of this customer, and the sum of their marks.
     peer_backlogs: i64,
-    peer_marks: i64,
+    peer_marks: f64,
     last_bid: Option<ClockTime>,
     /// The last adjustment on return from idle, and when it was made.
     lift: Option<(ClockTime, f64)>,
@@ -178,7 +178,7 @@
         let Some(account) = self.accounts.get_mut(&customer) else {
             return;
         };
-        account.own_total += cost;
+        account.own_total = account.own_total.saturating_add(cost);
         account.position += cost as f64 / account.share;
         let kind = account.kinds.get_or_insert_with(kind, KindAccount::default);
         kind.position += cost as f64 / weight;
@@ -312,8 +312,8 @@
         if !self.presumes_peers {
             return account.position;
         }
-        let presumed = account.peer_backlogs * account.own_total - account.peer_marks;
-        account.position + presumed as f64 / account.share
+        let presumed = account.peer_backlogs as f64 * account.own_total as f64 - account.peer_marks;
+        account.position + presumed / account.share
     }
 
     fn is_active(&self, customer: CustomerId, account: &CustomerAccount, now: ClockTime) -> bool {
@@ -455,11 +455,11 @@
         let line = peer
             .lines
             .get_or_insert_with(entry.customer, PeerLine::default);
-        if adopts {
+        if adopts && entry.lead.is_finite() {
             account.position += entry.lead;
         }
         if !is_baseline {
-            account.position += (entry.total - line.total) as f64 / account.share;
+            account.position += entry.total.saturating_sub(line.total) as f64 / account.share;
         }
         line.total = entry.total;
         if line.backlogged == entry.backlogged {
@@ -469,10 +469,10 @@
         if entry.backlogged {
             line.own_mark = account.own_total;
             account.peer_backlogs += 1;
-            account.peer_marks += line.own_mark;
+            account.peer_marks += line.own_mark as f64;
         } else {
             account.peer_backlogs -= 1;
-            account.peer_marks -= line.own_mark;
+            account.peer_marks -= line.own_mark as f64;
         }
     }
 
@@ -497,7 +497,7 @@
         peer.heard = now;
         for (customer, line) in peer.lines.iter_mut().filter(|(_, line)| line.backlogged) {
             if let Some(account) = self.accounts.get_mut(customer) {
-                account.peer_marks += account.own_total - line.own_mark;
+                account.peer_marks += (account.own_total - line.own_mark) as f64;
                 line.own_mark = account.own_total;
             }
         }
@@ -513,13 +513,13 @@
     fn recount_peers(&mut self) {
         for account in self.accounts.values_mut() {
             account.peer_backlogs = 0;
-            account.peer_marks = 0;
+            account.peer_marks = 0.0;
         }
         for peer in self.peers.values() {
             for (customer, line) in peer.lines.iter().filter(|(_, line)| line.backlogged) {
                 if let Some(account) = self.accounts.get_mut(customer) {
                     account.peer_backlogs += 1;
-                    account.peer_marks += line.own_mark;
+                    account.peer_marks += line.own_mark as f64;
                 }
             }
         }
@@ -535,7 +535,7 @@
             reported_total: 0,
             reported_backlog: false,
             peer_backlogs: 0,
-            peer_marks: 0,
+            peer_marks: 0.0,
             last_bid: None,
             lift: None,
             kinds: SortedMap::new(),
--- a/crates/cicadalock-node/src/endpoint/meter.rs
+++ b/crates/cicadalock-node/src/endpoint/meter.rs
@@ -8,6 +8,9 @@
 /// Longest answer in one piece whose usage is looked at, in bytes.
 const WHOLE_LIMIT: usize = 1024 * 1024;
 
+/// Greatest usage that is believed, in tokens.
+const USAGE_LIMIT: i64 = 1_000_000_000;
+
 /// Counts the tokens of a completion and notes whether its stream ended as it should.
 ///
 /// ```
--- a/crates/trial/src/scenario/catalogue.rs
+++ b/crates/trial/src/scenario/catalogue.rs
@@ -150,6 +150,9 @@
 const MODEL_TOKEN: Duration = Duration::from_millis(20);
 const DESK_CALL: Duration = Duration::from_millis(20);
 
+/// Time after which the host list drops a host that was killed.
+const LIST_LAG: Duration = Duration::from_secs(3);
+
 fn customer(index: usize) -> String {
     format!("skole-{index:02}")
 }
@@ -391,7 +394,11 @@
 fn with_fault(options: &ScenarioOptions, fault: FleetEvent) -> ScenarioPlan {
     let mut plan = mixed(options, 3);
     let third = options.length / 3;
-    plan.events = vec![(third, fault), (third * 2, FleetEvent::StartAll)];
+    plan.events = vec![
+        (third, fault),
+        (third + LIST_LAG, FleetEvent::UnlistDead),
+        (third * 2, FleetEvent::StartAll),
+    ];
     plan
 }
 
--- a/crates/trial/src/scenario/event.rs
+++ b/crates/trial/src/scenario/event.rs
@@ -18,7 +18,9 @@
     KillRouter(usize),
     /// Everything in an availability zone is killed; the balancer notices.
     KillZone(String),
-    /// Everything that was killed starts again.
+    /// The host list drops sidecars that were killed.
+    UnlistDead,
+    /// Everything that was killed starts again and is listed.
     StartAll,
     /// A sidecar is frozen.
     FreezeSidecar(usize),
@@ -46,6 +48,14 @@
             Self::KillSidecar(index) => kill(&mut fleet.sidecars[*index].child),
             Self::KillRouter(index) => kill(&mut fleet.routers[*index].child),
             Self::KillZone(zone) => kill_zone(fleet, zone),
+            Self::UnlistDead => {
+                let dead = fleet
+                    .sidecars
+                    .iter_mut()
+                    .filter(|sidecar| sidecar.child.is_none());
+                dead.for_each(|sidecar| sidecar.state = "gone");
+                fleet.publish_hosts();
+            }
             Self::StartAll => start_missing(fleet)?,
             Self::FreezeSidecar(index) => {
                 if let Some(child) = &fleet.sidecars[*index].child {
@@ -90,6 +100,13 @@
 }
 
 fn start_missing(fleet: &mut RunningFleet) -> std::io::Result<()> {
+    if fleet.sidecars.iter().any(|sidecar| sidecar.state == "gone") {
+        fleet
+            .sidecars
+            .iter_mut()
+            .for_each(|sidecar| sidecar.state = "live");
+        fleet.publish_hosts();
+    }
     for index in 0..fleet.endpoints.len() {
         if fleet.endpoints[index].child.is_none() {
             fleet.start_endpoint(index)?;
