--- a/crates/cicadalock-core/src/fair/mod.rs
+++ b/crates/cicadalock-core/src/fair/mod.rs
@@ -20,11 +20,14 @@
 //! ```
 
 mod bids;
+mod builder;
 mod estimates;
+mod merge;
 mod peers;
 mod scheduler;
 
 pub use bids::BidBook;
+pub use builder::SchedulerBuilder;
 pub use estimates::CostEstimates;
 pub use peers::{PeerReport, PeerTotals, TotalEntry};
-pub use scheduler::{GrantScheduler, SchedulerBuilder, SchedulerPick};
+pub use scheduler::{GrantScheduler, SchedulerPick};
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -2,8 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::peers::PeerLine;
-use super::{BidBook, CostEstimates, PeerReport, PeerTotals, TotalEntry};
+use super::{BidBook, CostEstimates, PeerReport, PeerTotals, SchedulerBuilder, TotalEntry};
 use crate::collect::SortedMap;
 use crate::id::{CustomerId, HostName, Incarnation, KindId, LinkId};
 use crate::time::ClockTime;
@@ -14,12 +13,6 @@
 /// A peer that misses so many reports in a row is no longer presumed to grant.
 const MISSED_REPORTS_LIMIT: u32 = 4;
 
-/// Default time between two reports of a peer.
-const DEFAULT_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Default of the greatest lead of one customer over another, in cost units by share.
-const DEFAULT_DEBT_CAP: f64 = 1_000_000.0;
-
 /// Fair choice between customers beside one endpoint.
 ///
 /// Every customer has a position: cost received over share, summed over the sidecars of the
@@ -28,18 +21,18 @@
 /// this sidecar does; the presumption is dropped when the peer's report arrives.
 #[derive(Debug)]
 pub struct GrantScheduler {
-    accounts: SortedMap<CustomerId, CustomerAccount>,
-    kinds: SortedMap<KindId, f64>,
-    bids: BidBook,
-    estimates: CostEstimates,
-    peers: SortedMap<HostName, PeerTotals>,
-    incarnation: Incarnation,
-    sequence: u64,
-    debt_cap: f64,
-    is_adopted: bool,
-    presumes_peers: bool,
+    pub(super) accounts: SortedMap<CustomerId, CustomerAccount>,
+    pub(super) kinds: SortedMap<KindId, f64>,
+    pub(super) bids: BidBook,
+    pub(super) estimates: CostEstimates,
+    pub(super) peers: SortedMap<HostName, PeerTotals>,
+    pub(super) incarnation: Incarnation,
+    pub(super) sequence: u64,
+    pub(super) debt_cap: f64,
+    pub(super) is_adopted: bool,
+    pub(super) presumes_peers: bool,
     /// A peer that is silent for longer is no longer presumed to grant.
-    silence_limit: Duration,
+    pub(super) silence_limit: Duration,
 }
 
 /// What was picked, already charged with its estimate.
@@ -56,26 +49,26 @@
 }
 
 #[derive(Debug, Clone)]
-struct CustomerAccount {
-    share: f64,
+pub(super) struct CustomerAccount {
+    pub(super) share: f64,
     /// Cost over share of all known sidecars, adjusted on return from idle.
-    position: f64,
+    pub(super) position: f64,
     /// Cost charged by this sidecar since its start.
-    own_total: i64,
+    pub(super) own_total: i64,
     /// Own total in the last report sent.
-    reported_total: i64,
-    reported_backlog: bool,
+    pub(super) reported_total: i64,
+    pub(super) reported_backlog: bool,
     /// Peers with a backlog of this customer, and the sum of their marks.
-    peer_backlogs: i64,
-    peer_marks: f64,
-    last_bid: Option<ClockTime>,
+    pub(super) peer_backlogs: i64,
+    pub(super) peer_marks: f64,
+    pub(super) last_bid: Option<ClockTime>,
     /// The last adjustment on return from idle, and when it was made.
-    lift: Option<(ClockTime, f64)>,
-    kinds: SortedMap<KindId, KindAccount>,
+    pub(super) lift: Option<(ClockTime, f64)>,
+    pub(super) kinds: SortedMap<KindId, KindAccount>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-struct KindAccount {
+pub(super) struct KindAccount {
     position: f64,
     last_bid: Option<ClockTime>,
 }
@@ -229,42 +222,6 @@
         }
     }
 
-    /// Adds a peer's report. Old and repeated reports are ignored; returns whether it was new.
-    pub fn merge(&mut self, report: &PeerReport, now: ClockTime) -> bool {
-        let known = self
-            .peers
-            .get(&report.host)
-            .map(|peer| (peer.incarnation, peer.sequence));
-        if known.is_some_and(|seen| seen >= (report.incarnation, report.sequence)) {
-            return false;
-        }
-        let was_silent = self
-            .peers
-            .get(&report.host)
-            .is_some_and(|peer| peer.is_silent(now, self.silence_limit));
-        let is_first = known.is_none_or(|(incarnation, _)| incarnation != report.incarnation);
-        let is_older = report.incarnation < self.incarnation;
-        if is_first {
-            self.forget_peer(&report.host);
-            self.peers.insert(
-                report.host.clone(),
-                PeerTotals::new(report.incarnation, now),
-            );
-        }
-        let adopts = is_first && is_older && !self.is_adopted;
-        for entry in &report.entries {
-            self.merge_entry(&report.host, entry, is_first && is_older, adopts);
-            if was_silent && entry.backlogged {
-                self.withdraw_lift(entry.customer, now);
-            }
-        }
-        if adopts {
-            self.is_adopted = true;
-        }
-        self.mark_heard(&report.host, report.sequence, now);
-        true
-    }
-
     /// Stops presuming that silent peers grant, and keeps leads within the cap.
     pub fn tick(&mut self, now: ClockTime) {
         let mut silent = false;
@@ -438,92 +395,6 @@
             .map(|account| self.effective_position(account))
             .min_by(f64::total_cmp)
     }
-
-    fn merge_entry(
-        &mut self,
-        host: &HostName,
-        entry: &TotalEntry,
-        is_baseline: bool,
-        adopts: bool,
-    ) {
-        let Some(account) = self.accounts.get_mut(&entry.customer) else {
-            return;
-        };
-        let Some(peer) = self.peers.get_mut(host) else {
-            return;
-        };
-        let line = peer
-            .lines
-            .get_or_insert_with(entry.customer, PeerLine::default);
-        if adopts && entry.lead.is_finite() {
-            account.position += entry.lead;
-        }
-        if !is_baseline {
-            account.position += entry.total.saturating_sub(line.total) as f64 / account.share;
-        }
-        line.total = entry.total;
-        if line.backlogged == entry.backlogged {
-            return;
-        }
-        line.backlogged = entry.backlogged;
-        if entry.backlogged {
-            line.own_mark = account.own_total;
-            account.peer_backlogs += 1;
-            account.peer_marks += line.own_mark as f64;
-        } else {
-            account.peer_backlogs -= 1;
-            account.peer_marks -= line.own_mark as f64;
-        }
-    }
-
-    /// Takes back a customer's recent adjustment: it was not idle, only out of sight.
-    fn withdraw_lift(&mut self, customer: CustomerId, now: ClockTime) {
-        let Some(account) = self.accounts.get_mut(&customer) else {
-            return;
-        };
-        if let Some((at, lag)) = account.lift.take()
-            && now.since(at) <= self.silence_limit
-        {
-            account.position -= lag;
-        }
-    }
-
-    /// Moves the marks of every line of a peer to the own totals of now.
-    fn mark_heard(&mut self, host: &HostName, sequence: u64, now: ClockTime) {
-        let Some(peer) = self.peers.get_mut(host) else {
-            return;
-        };
-        peer.sequence = sequence;
-        peer.heard = now;
-        for (customer, line) in peer.lines.iter_mut().filter(|(_, line)| line.backlogged) {
-            if let Some(account) = self.accounts.get_mut(customer) {
-                account.peer_marks += (account.own_total - line.own_mark) as f64;
-                line.own_mark = account.own_total;
-            }
-        }
-    }
-
-    fn forget_peer(&mut self, host: &HostName) {
-        if self.peers.remove(host).is_some() {
-            self.recount_peers();
-        }
-    }
-
-    /// Recomputes each account's sums over peers with a backlog.
-    fn recount_peers(&mut self) {
-        for account in self.accounts.values_mut() {
-            account.peer_backlogs = 0;
-            account.peer_marks = 0.0;
-        }
-        for peer in self.peers.values() {
-            for (customer, line) in peer.lines.iter().filter(|(_, line)| line.backlogged) {
-                if let Some(account) = self.accounts.get_mut(customer) {
-                    account.peer_backlogs += 1;
-                    account.peer_marks += line.own_mark as f64;
-                }
-            }
-        }
-    }
 }
 
 impl CustomerAccount {
@@ -551,92 +422,3 @@
         }
     }
 }
-
-/// Collects the settings of a [`GrantScheduler`].
-#[derive(Debug, Clone)]
-pub struct SchedulerBuilder {
-    customers: SortedMap<CustomerId, f64>,
-    kinds: SortedMap<KindId, (f64, f64)>,
-    incarnation: Incarnation,
-    debt_cap: f64,
-    presumes_peers: bool,
-    exchange_interval: Duration,
-}
-
-impl SchedulerBuilder {
-    /// Adds a customer that is owed `share` parts of the capacity.
-    #[must_use]
-    pub fn customer(mut self, customer: CustomerId, share: u32) -> Self {
-        self.customers.insert(customer, f64::from(share.max(1)));
-        self
-    }
-
-    /// Adds a kind with its weight inside a customer's share and its expected cost.
-    #[must_use]
-    pub fn kind(mut self, kind: KindId, weight: u32, estimate: u32) -> Self {
-        self.kinds
-            .insert(kind, (f64::from(weight.max(1)), f64::from(estimate)));
-        self
-    }
-
-    /// Sets the run of this process; reports of older runs count as history.
-    #[must_use]
-    pub const fn incarnation(mut self, incarnation: Incarnation) -> Self {
-        self.incarnation = incarnation;
-        self
-    }
-
-    /// Sets the greatest lead of one customer over another, in cost units by share.
-    #[must_use]
-    pub fn debt_cap(mut self, cap: u64) -> Self {
-        self.debt_cap = cap as f64;
-        self
-    }
-
-    /// Sets whether peers are presumed to grant between their reports.
-    #[must_use]
-    pub const fn presume_peers(mut self, presumes: bool) -> Self {
-        self.presumes_peers = presumes;
-        self
-    }
-
-    /// Sets the time between two reports of a peer.
-    #[must_use]
-    pub const fn exchange_interval(mut self, interval: Duration) -> Self {
-        self.exchange_interval = interval;
-        self
-    }
-
-    /// Builds the scheduler.
-    #[must_use]
-    pub fn build(self) -> GrantScheduler {
-        let mut scheduler = GrantScheduler {
-            accounts: SortedMap::new(),
-            kinds: SortedMap::new(),
-            bids: BidBook::new(),
-            estimates: CostEstimates::new(),
-            peers: SortedMap::new(),
-            incarnation: self.incarnation,
-            sequence: 0,
-            debt_cap: self.debt_cap,
-            is_adopted: false,
-            presumes_peers: self.presumes_peers,
-            silence_limit: Duration::ZERO,
-        };
-        scheduler.reconfigure(self);
-        scheduler
-    }
-}
-
-impl Default for SchedulerBuilder {
-    fn default() -> Self {
-        Self {
-            customers: SortedMap::new(),
-            kinds: SortedMap::new(),
-            incarnation: Incarnation::default(),
-            debt_cap: DEFAULT_DEBT_CAP,
-            presumes_peers: true,
-            exchange_interval: DEFAULT_EXCHANGE_INTERVAL,
-        }
-    }
-}
--- /dev/null
+++ b/crates/cicadalock-core/src/router/bidding.rs
@@ -0,0 +1,116 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::bid_planner::{NARROW_LINKS, is_stale};
+use super::hold_queue::QueueKey;
+use super::machine::RouterMachine;
+use super::request::HeldRequest;
+use crate::collect::SortedMap;
+use crate::id::LinkId;
+use crate::message::{BidLine, BidUpdate, PeerMessage};
+use crate::time::ClockTime;
+
+impl RouterMachine {
+    /// Requests of a queue that `link` may run.
+    pub(super) fn count_for(&self, link: LinkId, key: QueueKey) -> u32 {
+        let eligible = self.queue.requests(key).filter(|id| {
+            self.requests
+                .get(id)
+                .is_some_and(|request| request.is_for(link))
+        });
+        u32::try_from(eligible.count()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn update_bids(&mut self, now: ClockTime) {
+        if self.is_push() {
+            self.dirty.clear();
+            return;
+        }
+        let mut dirty = std::mem::take(&mut self.dirty);
+        dirty.sort_unstable();
+        dirty.dedup();
+        let mut updates: SortedMap<LinkId, Vec<BidLine>> = SortedMap::new();
+        for key in dirty {
+            self.plan_queue(key, now, &mut updates);
+        }
+        for (link, lines) in updates.iter() {
+            let message = PeerMessage::Bid(BidUpdate {
+                lines: lines.clone(),
+            });
+            self.send(*link, message);
+        }
+    }
+
+    pub(super) fn plan_queue(
+        &mut self,
+        key: QueueKey,
+        now: ClockTime,
+        updates: &mut SortedMap<LinkId, Vec<BidLine>>,
+    ) {
+        let has_requests = self.queue.len(key) > 0;
+        let is_wide = self.planner.update(key, has_requests, now);
+        let service = self.config.as_ref().and_then(|config| config.kind(key.1));
+        let service = service.map(|kind| kind.service.clone());
+        let candidates: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(_, link)| Some(&link.service) == service.as_ref() && self.is_eligible(link))
+            .map(|(id, _)| *id)
+            .collect();
+        let chosen = self.choose(&candidates, is_wide, key);
+        let told: Vec<LinkId> = self
+            .links
+            .iter()
+            .filter(|(id, link)| link.told(key) > 0 || chosen.binary_search(id).is_ok())
+            .map(|(id, _)| *id)
+            .collect();
+        for link in told {
+            let is_candidate = candidates.binary_search(&link).is_ok();
+            let count = if is_candidate {
+                self.count_for(link, key)
+            } else {
+                0
+            };
+            let Some(sidecar) = self.links.get_mut(&link) else {
+                continue;
+            };
+            if is_stale(sidecar.told(key), count) {
+                sidecar.set_told(key, count);
+                updates.get_or_insert_with(link, Vec::new).push(BidLine {
+                    customer: key.0.get(),
+                    kind: key.1.get(),
+                    count,
+                });
+            }
+        }
+    }
+
+    /// Links that are to hear of a queue, sorted.
+    pub(super) fn choose(
+        &mut self,
+        candidates: &[LinkId],
+        is_wide: bool,
+        key: QueueKey,
+    ) -> Vec<LinkId> {
+        let claimed = self
+            .queue
+            .requests(key)
+            .filter_map(|id| self.requests.get(&id).and_then(HeldRequest::link));
+        let mut chosen: Vec<LinkId> = claimed.collect();
+        if is_wide || candidates.len() <= NARROW_LINKS {
+            chosen.extend(candidates);
+        } else {
+            let known = candidates
+                .iter()
+                .filter(|id| self.links.get(id).is_some_and(|link| link.told(key) > 0));
+            let known = known.count();
+            self.turn += 1;
+            let start = xxh3_64_with_seed(&self.turn.to_le_bytes(), self.seed) as usize;
+            for step in 0..NARROW_LINKS.saturating_sub(known) {
+                chosen.push(candidates[start.wrapping_add(step) % candidates.len()]);
+            }
+        }
+        chosen.sort_unstable();
+        chosen.dedup();
+        chosen
+    }
+}
--- a/crates/cicadalock-core/src/router/machine.rs
+++ b/crates/cicadalock-core/src/router/machine.rs
@@ -1,10 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::action::{CallerEvent, RouterAction};
-use super::bid_planner::{BidPlanner, NARROW_LINKS, is_stale};
+use super::bid_planner::BidPlanner;
 use super::failure::CallerFailure;
 use super::hold_queue::{HoldQueue, QueueKey};
 use super::link::SidecarLink;
@@ -14,21 +12,13 @@
 use crate::config::{FleetConfig, SharingPolicy};
 use crate::id::{CustomerId, GrantId, HostName, KindId, LinkId, RequestId, ServiceName};
 use crate::member::{HostList, HostState};
-use crate::message::{
-    BidLine, BidUpdate, Decline, GrantOffer, PeerMessage, Ping, ReadCredit, ReleaseClaim,
-};
+use crate::message::{Decline, GrantOffer, PeerMessage, Ping, ReadCredit, ReleaseClaim};
 use crate::retry::RetryBudget;
 use crate::time::ClockTime;
 
 /// Deadlines are looked at this often.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A sidecar with work of this router that says nothing for longer is given up.
-const SILENCE_LIMIT: Duration = Duration::from_millis(3_000);
-
-/// How long the word of a sidecar is awaited after a request was cancelled.
-pub(super) const CANCEL_GRACE: Duration = Duration::from_millis(500);
-
 /// Holds callers' requests, tells sidecars of them and hands one over for each grant.
 #[derive(Debug)]
 pub struct RouterMachine {
@@ -43,13 +33,13 @@
     pub(super) grants: SortedMap<(LinkId, GrantId), RequestId>,
     pub(super) budgets: SortedMap<ServiceName, RetryBudget>,
     pub(super) push: PushQueue,
-    planner: BidPlanner,
-    dirty: Vec<QueueKey>,
+    pub(super) planner: BidPlanner,
+    pub(super) dirty: Vec<QueueKey>,
     pub(super) actions: Vec<RouterAction>,
-    body_bytes: u64,
-    swept: ClockTime,
-    seed: u64,
-    turn: u64,
+    pub(super) body_bytes: u64,
+    pub(super) swept: ClockTime,
+    pub(super) seed: u64,
+    pub(super) turn: u64,
     pub(super) retries: u64,
 }
 
@@ -273,58 +263,6 @@
         })
     }
 
-    fn admit(&mut self, call: &CallerRequest) -> Result<(), CallerFailure> {
-        let Some(config) = self.config.clone() else {
-            return Err(CallerFailure::no_capacity());
-        };
-        let limits = config.limits();
-        let key = (call.customer, call.kind);
-        let waiting = self.queue.len(key) + self.parked.len(key);
-        if waiting >= limits.queue_per_kind as usize {
-            return Err(CallerFailure::over_bound());
-        }
-        let is_full = self.requests.len() >= limits.requests_per_router as usize
-            || self.body_bytes + call.body.len() as u64 > limits.body_total;
-        if is_full && !self.shed_for(call.customer, &config) {
-            return Err(CallerFailure::router_full());
-        }
-        Ok(())
-    }
-
-    /// Drops the newest waiting request of the customer that holds most for its share.
-    ///
-    /// Returns false if that is `customer` itself.
-    fn shed_for(&mut self, customer: CustomerId, config: &FleetConfig) -> bool {
-        let load = |id: CustomerId, count: usize| {
-            count as f64
-                / config
-                    .customer(id)
-                    .map_or(1.0, |customer| f64::from(customer.share))
-        };
-        let mut counts: SortedMap<CustomerId, usize> = SortedMap::new();
-        for ((id, _), count) in self.queue.lengths() {
-            *counts.get_or_insert_with(id, || 0) += count;
-        }
-        let own = load(customer, counts.get(&customer).copied().unwrap_or(0) + 1);
-        let greatest = counts
-            .iter()
-            .map(|(id, count)| (*id, load(*id, *count)))
-            .max_by(|left, right| left.1.total_cmp(&right.1));
-        let Some((victim, _)) = greatest.filter(|(id, held)| *id != customer && *held > own) else {
-            return false;
-        };
-        let longest = self
-            .queue
-            .lengths()
-            .filter(|((id, _), _)| *id == victim)
-            .max_by_key(|(_, count)| *count);
-        let Some(id) = longest.and_then(|(key, _)| self.queue.last(key)) else {
-            return false;
-        };
-        self.fail_held(id, CallerFailure::over_bound());
-        true
-    }
-
     fn use_grant(&mut self, link: LinkId, offer: &GrantOffer, now: ClockTime) {
         let key = (CustomerId::new(offer.customer), KindId::new(offer.kind));
         let next = self.queue.requests(key).find(|id| {
@@ -387,105 +325,6 @@
         }
     }
 
-    /// Requests of a queue that `link` may run.
-    fn count_for(&self, link: LinkId, key: QueueKey) -> u32 {
-        let eligible = self.queue.requests(key).filter(|id| {
-            self.requests
-                .get(id)
-                .is_some_and(|request| request.is_for(link))
-        });
-        u32::try_from(eligible.count()).unwrap_or(u32::MAX)
-    }
-
-    fn update_bids(&mut self, now: ClockTime) {
-        if self.is_push() {
-            self.dirty.clear();
-            return;
-        }
-        let mut dirty = std::mem::take(&mut self.dirty);
-        dirty.sort_unstable();
-        dirty.dedup();
-        let mut updates: SortedMap<LinkId, Vec<BidLine>> = SortedMap::new();
-        for key in dirty {
-            self.plan_queue(key, now, &mut updates);
-        }
-        for (link, lines) in updates.iter() {
-            let message = PeerMessage::Bid(BidUpdate {
-                lines: lines.clone(),
-            });
-            self.send(*link, message);
-        }
-    }
-
-    fn plan_queue(
-        &mut self,
-        key: QueueKey,
-        now: ClockTime,
-        updates: &mut SortedMap<LinkId, Vec<BidLine>>,
-    ) {
-        let has_requests = self.queue.len(key) > 0;
-        let is_wide = self.planner.update(key, has_requests, now);
-        let service = self.config.as_ref().and_then(|config| config.kind(key.1));
-        let service = service.map(|kind| kind.service.clone());
-        let candidates: Vec<LinkId> = self
-            .links
-            .iter()
-            .filter(|(_, link)| Some(&link.service) == service.as_ref() && self.is_eligible(link))
-            .map(|(id, _)| *id)
-            .collect();
-        let chosen = self.choose(&candidates, is_wide, key);
-        let told: Vec<LinkId> = self
-            .links
-            .iter()
-            .filter(|(id, link)| link.told(key) > 0 || chosen.binary_search(id).is_ok())
-            .map(|(id, _)| *id)
-            .collect();
-        for link in told {
-            let is_candidate = candidates.binary_search(&link).is_ok();
-            let count = if is_candidate {
-                self.count_for(link, key)
-            } else {
-                0
-            };
-            let Some(sidecar) = self.links.get_mut(&link) else {
-                continue;
-            };
-            if is_stale(sidecar.told(key), count) {
-                sidecar.set_told(key, count);
-                updates.get_or_insert_with(link, Vec::new).push(BidLine {
-                    customer: key.0.get(),
-                    kind: key.1.get(),
-                    count,
-                });
-            }
-        }
-    }
-
-    /// Links that are to hear of a queue, sorted.
-    fn choose(&mut self, candidates: &[LinkId], is_wide: bool, key: QueueKey) -> Vec<LinkId> {
-        let claimed = self
-            .queue
-            .requests(key)
-            .filter_map(|id| self.requests.get(&id).and_then(HeldRequest::link));
-        let mut chosen: Vec<LinkId> = claimed.collect();
-        if is_wide || candidates.len() <= NARROW_LINKS {
-            chosen.extend(candidates);
-        } else {
-            let known = candidates
-                .iter()
-                .filter(|id| self.links.get(id).is_some_and(|link| link.told(key) > 0));
-            let known = known.count();
-            self.turn += 1;
-            let start = xxh3_64_with_seed(&self.turn.to_le_bytes(), self.seed) as usize;
-            for step in 0..NARROW_LINKS.saturating_sub(known) {
-                chosen.push(candidates[start.wrapping_add(step) % candidates.len()]);
-            }
-        }
-        chosen.sort_unstable();
-        chosen.dedup();
-        chosen
-    }
-
     /// Tells whether new work may go to a sidecar.
     ///
     /// The host list is believed when it says that a sidecar is leaving. A list without any live
@@ -500,59 +339,8 @@
         }
     }
 
-    fn sweep_requests(&mut self, now: ClockTime) {
-        let mut late = Vec::new();
-        for (id, request) in self.requests.iter() {
-            let deadline = match request.phase {
-                RequestPhase::HandedOver {
-                    cancelled: Some(at),
-                    ..
-                } => at + CANCEL_GRACE,
-                RequestPhase::HandedOver { .. } => request.deadline(),
-                _ => request.queue_deadline(),
-            };
-            if now >= deadline {
-                late.push(*id);
-            }
-        }
-        for id in late {
-            self.expire(id, now);
-        }
-    }
-
-    fn expire(&mut self, id: RequestId, now: ClockTime) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        match request.phase {
-            RequestPhase::HandedOver {
-                cancelled: None, ..
-            } => self.cancel(id, now),
-            RequestPhase::HandedOver { .. } => self.end_unknown(id, CallerFailure::timed_out()),
-            RequestPhase::Unclaimed { .. } | RequestPhase::Claiming { .. } => {
-                self.fail_held(id, CallerFailure::home_silent());
-            }
-            RequestPhase::Waiting | RequestPhase::Claimed { .. } => {
-                self.fail_held(id, CallerFailure::no_capacity());
-            }
-        }
-    }
-
-    fn sweep_links(&mut self, now: ClockTime) {
-        let silent: Vec<LinkId> = self
-            .links
-            .iter()
-            .filter(|(_, link)| link.outstanding > 0 && now.since(link.last_heard) > SILENCE_LIMIT)
-            .map(|(id, _)| *id)
-            .collect();
-        for link in silent {
-            self.actions.push(RouterAction::Close(link));
-            self.link_down(link, now);
-        }
-    }
-
     /// Removes a request that is not handed over, and tells its caller why.
-    fn fail_held(&mut self, id: RequestId, failure: CallerFailure) {
+    pub(super) fn fail_held(&mut self, id: RequestId, failure: CallerFailure) {
         self.drop_queued(id);
         self.fail(id, failure);
     }
--- a/crates/cicadalock-core/src/router/mod.rs
+++ b/crates/cicadalock-core/src/router/mod.rs
@@ -36,7 +36,9 @@
 //! ```
 
 mod action;
+mod admission;
 mod bid_planner;
+mod bidding;
 mod failure;
 mod hold_queue;
 mod keyed;
@@ -45,6 +47,7 @@
 mod push;
 mod request;
 mod settle;
+mod sweep;
 
 pub use action::{CallerEvent, RouterAction};
 pub use failure::CallerFailure;
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -15,9 +15,7 @@
     CustomerId, GrantId, HostName, Incarnation, KindId, LinkId, RequestId, Revision, ServiceName,
 };
 use crate::member::{HostList, HostState, ViewLease};
-use crate::message::{
-    BidUpdate, CancelWork, GrantOffer, LeavingNotice, PeerMessage, Ping, Refusal, refusal_reason,
-};
+use crate::message::{CancelWork, LeavingNotice, PeerMessage, Ping, Refusal, refusal_reason};
 use crate::outcome::OutcomeLedger;
 use crate::retry::EndpointBackoff;
 use crate::time::{ClockTime, WallTime};
@@ -54,9 +52,9 @@
     pub(super) is_listed_leaving: bool,
     pub(super) exchanged: ClockTime,
     pub(super) told_view: ClockTime,
-    next_grant: u64,
-    swept: ClockTime,
-    pinged: ClockTime,
+    pub(super) next_grant: u64,
+    pub(super) swept: ClockTime,
+    pub(super) pinged: ClockTime,
 }
 
 /// A connection to a router.
@@ -362,27 +360,6 @@
         }
     }
 
-    fn take_bids(&mut self, link: LinkId, update: &BidUpdate, now: ClockTime) {
-        for line in &update.lines {
-            let (customer, kind) = (CustomerId::new(line.customer), KindId::new(line.kind));
-            self.scheduler
-                .set_bid(link, customer, kind, line.count, now);
-        }
-    }
-
-    fn declined(&mut self, link: LinkId, id: GrantId, left: u32, now: ClockTime) {
-        let is_offered = self.grants.get(&id).is_some_and(|grant| {
-            grant.link == link && matches!(grant.phase, GrantPhase::Offered { .. })
-        });
-        if !is_offered {
-            return;
-        }
-        if let Some(grant) = self.void(id) {
-            self.scheduler
-                .set_bid(link, grant.customer, grant.kind, left, now);
-        }
-    }
-
     fn cancelled(&mut self, link: LinkId, cancel: &CancelWork) {
         let id = own_grant(link, cancel.grant);
         let Some(grant) = self.grants.get(&id).filter(|grant| grant.link == link) else {
@@ -399,84 +376,6 @@
         }
     }
 
-    /// Offers grants while the endpoint has free slots, and a few ahead.
-    fn offer_grants(&mut self, now: ClockTime) {
-        let Some(service) = self.service_config() else {
-            return;
-        };
-        if self.is_leaving() || self.policy().is_push() {
-            return;
-        }
-        let slots = service.slots as usize;
-        let limit = match self.backoff.slot_limit(slots, now) {
-            limit if limit == slots => slots + service.ahead as usize,
-            limit => limit,
-        };
-        while self.grants.len() < limit {
-            let Some(pick) = self.scheduler.pick(now) else {
-                return;
-            };
-            self.next_grant += 1;
-            let id = GrantId::new(self.next_grant);
-            self.grants.insert(
-                id,
-                OpenGrant {
-                    link: pick.link,
-                    customer: pick.customer,
-                    kind: pick.kind,
-                    charged: pick.estimate,
-                    phase: GrantPhase::Offered { at: now },
-                },
-            );
-            self.send(
-                pick.link,
-                PeerMessage::Grant(GrantOffer {
-                    grant: id.get(),
-                    customer: pick.customer.get(),
-                    kind: pick.kind.get(),
-                }),
-            );
-        }
-    }
-
-    /// Takes back offers whose lease has run out, and ignores their routers until they are heard.
-    fn void_expired(&mut self, now: ClockTime) {
-        let lease = self.grant_lease();
-        let expired: Vec<GrantId> = self
-            .grants
-            .iter()
-            .filter(|(_, grant)| {
-                matches!(grant.phase, GrantPhase::Offered { at } if now.since(at) > lease)
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            let Some(grant) = self.void(id) else {
-                continue;
-            };
-            self.scheduler.drop_link(grant.link, now);
-            if let Some(router) = self.routers.get_mut(&grant.link) {
-                router.is_muted = true;
-            }
-        }
-    }
-
-    fn unmute(&mut self, link: LinkId) {
-        let muted = self.routers.get_mut(&link).filter(|router| router.is_muted);
-        if let Some(router) = muted {
-            router.is_muted = false;
-            self.send(link, PeerMessage::Ping(Ping { resync: true }));
-        }
-    }
-
-    /// Removes a grant that was not used and gives its charge back.
-    pub(super) fn void(&mut self, id: GrantId) -> Option<OpenGrant> {
-        let grant = self.grants.remove(&id)?;
-        self.scheduler
-            .charge(grant.customer, grant.kind, -grant.charged);
-        Some(grant)
-    }
-
     fn ping_routers(&mut self) {
         let mut links: Vec<LinkId> = self.grants.values().map(|grant| grant.link).collect();
         links.sort_unstable();
--- a/crates/cicadalock-core/src/sidecar/mod.rs
+++ b/crates/cicadalock-core/src/sidecar/mod.rs
@@ -23,6 +23,7 @@
 mod hand_off;
 mod keyed;
 mod machine;
+mod offer;
 mod work;
 
 pub use action::{CallResult, RunOrder, SidecarAction};
--- /dev/null
+++ b/crates/cicadalock-core/src/sidecar/offer.rs
@@ -0,0 +1,106 @@
+use super::grant::{GrantPhase, OpenGrant};
+use super::machine::SidecarMachine;
+use crate::id::{CustomerId, GrantId, KindId, LinkId};
+use crate::message::{BidUpdate, GrantOffer, PeerMessage, Ping};
+use crate::time::ClockTime;
+
+impl SidecarMachine {
+    pub(super) fn take_bids(&mut self, link: LinkId, update: &BidUpdate, now: ClockTime) {
+        for line in &update.lines {
+            let (customer, kind) = (CustomerId::new(line.customer), KindId::new(line.kind));
+            self.scheduler
+                .set_bid(link, customer, kind, line.count, now);
+        }
+    }
+
+    pub(super) fn declined(&mut self, link: LinkId, id: GrantId, left: u32, now: ClockTime) {
+        let is_offered = self.grants.get(&id).is_some_and(|grant| {
+            grant.link == link && matches!(grant.phase, GrantPhase::Offered { .. })
+        });
+        if !is_offered {
+            return;
+        }
+        if let Some(grant) = self.void(id) {
+            self.scheduler
+                .set_bid(link, grant.customer, grant.kind, left, now);
+        }
+    }
+
+    /// Offers grants while the endpoint has free slots, and a few ahead.
+    pub(super) fn offer_grants(&mut self, now: ClockTime) {
+        let Some(service) = self.service_config() else {
+            return;
+        };
+        if self.is_leaving() || self.policy().is_push() {
+            return;
+        }
+        let slots = service.slots as usize;
+        let limit = match self.backoff.slot_limit(slots, now) {
+            limit if limit == slots => slots + service.ahead as usize,
+            limit => limit,
+        };
+        while self.grants.len() < limit {
+            let Some(pick) = self.scheduler.pick(now) else {
+                return;
+            };
+            self.next_grant += 1;
+            let id = GrantId::new(self.next_grant);
+            self.grants.insert(
+                id,
+                OpenGrant {
+                    link: pick.link,
+                    customer: pick.customer,
+                    kind: pick.kind,
+                    charged: pick.estimate,
+                    phase: GrantPhase::Offered { at: now },
+                },
+            );
+            self.send(
+                pick.link,
+                PeerMessage::Grant(GrantOffer {
+                    grant: id.get(),
+                    customer: pick.customer.get(),
+                    kind: pick.kind.get(),
+                }),
+            );
+        }
+    }
+
+    /// Takes back offers whose lease has run out, and ignores their routers until they are heard.
+    pub(super) fn void_expired(&mut self, now: ClockTime) {
+        let lease = self.grant_lease();
+        let expired: Vec<GrantId> = self
+            .grants
+            .iter()
+            .filter(|(_, grant)| {
+                matches!(grant.phase, GrantPhase::Offered { at } if now.since(at) > lease)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            let Some(grant) = self.void(id) else {
+                continue;
+            };
+            self.scheduler.drop_link(grant.link, now);
+            if let Some(router) = self.routers.get_mut(&grant.link) {
+                router.is_muted = true;
+            }
+        }
+    }
+
+    pub(super) fn unmute(&mut self, link: LinkId) {
+        let muted = self.routers.get_mut(&link).filter(|router| router.is_muted);
+        if let Some(router) = muted {
+            router.is_muted = false;
+            self.send(link, PeerMessage::Ping(Ping { resync: true }));
+        }
+    }
+
+    /// Removes a grant that was not used and gives its charge back.
+    pub(super) fn void(&mut self, id: GrantId) -> Option<OpenGrant> {
+        let grant = self.grants.remove(&id)?;
+        self.scheduler
+            .charge(grant.customer, grant.kind, -grant.charged);
+        Some(grant)
+    }
+}
