--- a/crates/cicadalock-core/tests/fair_share.rs
+++ b/crates/cicadalock-core/tests/fair_share.rs
@@ -8,8 +8,8 @@
 use cicadalock_core::id::{CustomerId, HostName, Incarnation, KindId, LinkId};
 use cicadalock_core::time::ClockTime;
 use proptest::prelude::*;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 use support::seeded;
 use yare::parameterized;
 
@@ -132,7 +132,7 @@
         for sidecar in 0..self.plan.sidecars {
             self.serve(sidecar, backlogged);
         }
-        if self.now % self.plan.exchange_ms == 0 {
+        if self.now.is_multiple_of(self.plan.exchange_ms) {
             self.exchange();
         }
         self.now += STEP_MS;
--- a/crates/cicadalock-core/tests/robustness.rs
+++ b/crates/cicadalock-core/tests/robustness.rs
@@ -185,7 +185,7 @@
             machine.receive(LinkId::new(link), message, clock, wall);
             machine.take_actions(clock, wall);
             machine.tick(clock, wall);
-            machine.report(clock);
+            let _ = machine.report(clock);
             now += pause;
         }
     }
--- a/crates/cicadalock-node/src/endpoint/meter.rs
+++ b/crates/cicadalock-node/src/endpoint/meter.rs
@@ -117,5 +117,5 @@
     let value: Value = serde_json::from_slice(bytes).ok()?;
     value["usage"]["total_tokens"]
         .as_i64()
-        .filter(|tokens| *tokens >= 0)
+        .filter(|tokens| (0..=USAGE_LIMIT).contains(tokens))
 }
