--- a/crates/cicadalock-core/examples/fair_queue.rs
+++ b/crates/cicadalock-core/examples/fair_queue.rs
@@ -30,6 +30,7 @@
         let cost = 12;
         scheduler.charge(pick.customer, pick.kind, cost - pick.estimate);
         scheduler.observe(pick.customer, pick.kind, cost);
+        scheduler.settle(pick.customer, pick.estimate);
         runs[usize::from(pick.customer == school)] += 1;
         now = now + std::time::Duration::from_millis(5);
     }
--- a/crates/cicadalock-core/src/fair/merge.rs
+++ b/crates/cicadalock-core/src/fair/merge.rs
@@ -63,6 +63,9 @@
             account.position += entry.total.saturating_sub(line.total) as f64 / account.share;
         }
         line.total = entry.total;
+        let change = entry.pending.saturating_sub(line.pending);
+        account.peer_pending = account.peer_pending.saturating_add(change);
+        line.pending = entry.pending;
         if line.backlogged == entry.backlogged {
             return;
         }
@@ -115,10 +118,15 @@
         for account in self.accounts.values_mut() {
             account.peer_backlogs = 0;
             account.peer_marks = 0.0;
+            account.peer_pending = 0;
         }
         for peer in self.peers.values() {
-            for (customer, line) in peer.lines.iter().filter(|(_, line)| line.backlogged) {
-                if let Some(account) = self.accounts.get_mut(customer) {
+            for (customer, line) in peer.lines.iter() {
+                let Some(account) = self.accounts.get_mut(customer) else {
+                    continue;
+                };
+                account.peer_pending = account.peer_pending.saturating_add(line.pending);
+                if line.backlogged {
                     account.peer_backlogs += 1;
                     account.peer_marks += line.own_mark as f64;
                 }
--- a/crates/cicadalock-core/src/fair/peers.rs
+++ b/crates/cicadalock-core/src/fair/peers.rs
@@ -13,6 +13,8 @@
     pub total: i64,
     /// Whether the customer has requests waiting at the peer.
     pub backlogged: bool,
+    /// Part of the total that is estimates of requests in work, in cost units.
+    pub pending: i64,
     /// Customer's position over the least of the peer's positions, in cost units by share.
     pub lead: f64,
 }
@@ -43,6 +45,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct PeerLine {
     pub(super) total: i64,
+    pub(super) pending: i64,
     pub(super) backlogged: bool,
     /// Own total of the customer when the peer's last report arrived.
     pub(super) own_mark: i64,
--- a/crates/cicadalock-core/src/fair/scheduler.rs
+++ b/crates/cicadalock-core/src/fair/scheduler.rs
@@ -55,6 +55,9 @@
     pub(super) position: f64,
     /// Cost charged by this sidecar since its start.
     pub(super) own_total: i64,
+    /// Estimates charged for requests that have not ended, here and at the peers.
+    pub(super) pending: i64,
+    pub(super) peer_pending: i64,
     /// Own total in the last report sent.
     pub(super) reported_total: i64,
     pub(super) reported_backlog: bool,
@@ -157,6 +160,9 @@
         self.touch(customer, kind, now);
         let estimate = self.estimates.expect(customer, kind).round() as i64;
         self.charge(customer, kind, estimate);
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            account.pending += estimate;
+        }
         Some(SchedulerPick {
             link,
             customer,
@@ -177,6 +183,13 @@
         kind.position += cost as f64 / weight;
     }
 
+    /// Notes that a picked request has ended and its estimate was replaced by its true cost.
+    pub fn settle(&mut self, customer: CustomerId, estimate: i64) {
+        if let Some(account) = self.accounts.get_mut(&customer) {
+            account.pending = (account.pending - estimate).max(0);
+        }
+    }
+
     /// Takes in the final cost of a finished request, for later estimates.
     pub fn observe(&mut self, customer: CustomerId, kind: KindId, cost: i64) {
         self.estimates.observe(customer, kind, cost as f64);
@@ -228,8 +241,9 @@
         for peer in self.peers.values_mut() {
             if peer.is_silent(now, self.silence_limit) {
                 for line in peer.lines.values_mut() {
-                    silent |= line.backlogged;
+                    silent |= line.backlogged || line.pending != 0;
                     line.backlogged = false;
+                    line.pending = 0;
                 }
             }
         }
@@ -286,10 +300,16 @@
         self.accounts
             .iter()
             .filter(|(customer, account)| self.is_active(**customer, account, now))
-            .map(|(_, account)| self.effective_position(account))
+            .map(|(_, account)| self.settled_position(account))
             .min_by(f64::total_cmp)
     }
 
+    /// Position without estimates of requests in work, which may prove too high.
+    fn settled_position(&self, account: &CustomerAccount) -> f64 {
+        let pending = account.pending.saturating_add(account.peer_pending);
+        self.effective_position(account) - pending as f64 / account.share
+    }
+
     fn lift_customer(&mut self, customer: CustomerId, now: ClockTime) {
         let Some(account) = self.accounts.get(&customer) else {
             return;
@@ -403,6 +423,8 @@
             share,
             position,
             own_total: 0,
+            pending: 0,
+            peer_pending: 0,
             reported_total: 0,
             reported_backlog: false,
             peer_backlogs: 0,
@@ -417,6 +439,7 @@
         TotalEntry {
             customer,
             total: self.own_total,
+            pending: self.pending,
             backlogged,
             lead,
         }
--- a/crates/cicadalock-core/src/message/control.rs
+++ b/crates/cicadalock-core/src/message/control.rs
@@ -66,6 +66,9 @@
     /// Lead over the least position, in cost units by share; only in full reports.
     #[prost(float, tag = "4")]
     pub lead: f32,
+    /// Part of the total that is estimates of requests in work, in cost units.
+    #[prost(sint64, tag = "5")]
+    pub pending: i64,
 }
 
 /// Service totals of a sidecar.
--- a/crates/cicadalock-core/src/sidecar/exchange.rs
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -106,6 +106,7 @@
     TotalEntry {
         customer: CustomerId::new(line.customer),
         total: line.total,
+        pending: line.pending,
         backlogged: line.backlogged,
         lead: f64::from(line.lead),
     }
@@ -115,6 +116,7 @@
     let lines = report.entries.iter().map(|entry| TotalLine {
         customer: entry.customer.get(),
         total: entry.total,
+        pending: entry.pending,
         backlogged: entry.backlogged,
         lead: entry.lead as f32,
     });
--- a/crates/cicadalock-core/src/sidecar/grant.rs
+++ b/crates/cicadalock-core/src/sidecar/grant.rs
@@ -11,6 +11,8 @@
     pub(super) kind: KindId,
     /// Cost charged so far, in cost units.
     pub(super) charged: i64,
+    /// Cost charged at the grant.
+    pub(super) estimate: i64,
     pub(super) phase: GrantPhase,
 }
 
--- a/crates/cicadalock-core/src/sidecar/offer.rs
+++ b/crates/cicadalock-core/src/sidecar/offer.rs
@@ -52,6 +52,7 @@
                     customer: pick.customer,
                     kind: pick.kind,
                     charged: pick.estimate,
+                    estimate: pick.estimate,
                     phase: GrantPhase::Offered { at: now },
                 },
             );
@@ -99,6 +100,7 @@
     /// Removes a grant that was not used and gives its charge back.
     pub(super) fn void(&mut self, id: GrantId) -> Option<OpenGrant> {
         let grant = self.grants.remove(&id)?;
+        self.scheduler.settle(grant.customer, grant.estimate);
         self.scheduler
             .charge(grant.customer, grant.kind, -grant.charged);
         Some(grant)
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -64,6 +64,7 @@
             customer: CustomerId::new(request.customer),
             kind: KindId::new(request.kind),
             charged: 0,
+            estimate: 0,
             phase: GrantPhase::Staged {
                 received: now,
                 deadline: now + Duration::from_millis(request.remaining_ms),
@@ -228,6 +229,7 @@
         let Some(grant) = self.grants.remove(&id) else {
             return;
         };
+        self.scheduler.settle(grant.customer, grant.estimate);
         self.scheduler
             .charge(grant.customer, grant.kind, cost - grant.charged);
         let number = own_grant(grant.link, id.get());
--- a/crates/cicadalock-core/tests/fair_share.rs
+++ b/crates/cicadalock-core/tests/fair_share.rs
@@ -55,6 +55,7 @@
 
 struct Run {
     customer: usize,
+    estimate: i64,
     charged: i64,
     cost: u64,
     done: u64,
@@ -157,6 +158,7 @@
             let cost = self.rng.random_range(1..=self.plan.costs[customer]);
             self.runs[sidecar].push(Run {
                 customer,
+                estimate: pick.estimate,
                 charged: pick.estimate,
                 cost,
                 done: 0,
@@ -182,6 +184,8 @@
             }
             scheduler.charge(id(run.customer), KIND, run.cost as i64 - run.charged);
             scheduler.observe(id(run.customer), KIND, run.cost as i64);
+            scheduler.settle(id(run.customer), run.estimate);
+
             false
         });
     }
@@ -364,6 +368,30 @@
     );
 }
 
+/// The first customer fills every slot before the others come; its requests cost far less than the
+/// first estimate says. Its lead stays within what it really had in work.
+#[test]
+fn an_estimate_that_was_too_high_gives_early_customers_no_credit() {
+    let plan = FleetPlan {
+        sidecars: 4,
+        slots: 8,
+        costs: vec![10; 15],
+        ..FleetPlan::default()
+    };
+    let mut fleet = Fleet::new(plan);
+    // The sidecars know each other before the load begins.
+    fleet.exchange();
+    let mut waits = vec![false; 15];
+    waits[0] = true;
+    fleet.step(&waits);
+    let all = vec![true; 15];
+    (0..3_000).for_each(|_| fleet.step(&all));
+    let others = fleet.service[1..].iter().sum::<f64>() / 14.0;
+    let lead = fleet.service[0] - others;
+    let in_work = (4 * 8 * 10) as f64;
+    assert!(lead <= in_work, "a lead of {lead}, with {in_work} in work");
+}
+
 #[test]
 fn kinds_of_one_customer_share_by_weight() {
     let customer = CustomerId::new(1);
--- a/crates/cicadalock-core/tests/robustness.rs
+++ b/crates/cicadalock-core/tests/robustness.rs
@@ -104,6 +104,7 @@
                     lines: vec![TotalLine {
                         customer,
                         total,
+                        pending: total,
                         backlogged,
                         lead,
                     }],
--- a/crates/trial/src/capacity/slopes.rs
+++ b/crates/trial/src/capacity/slopes.rs
@@ -101,6 +101,7 @@
             let entries = (0..customers).map(|customer| TotalEntry {
                 customer: CustomerId::new(customer as u32 + 1),
                 total: sequence as i64 * 100,
+                pending: 100,
                 backlogged: true,
                 lead: 0.0,
             });
@@ -171,6 +172,7 @@
     let totals = (0..lines).map(|line| TotalLine {
         customer: u32::MAX - line as u32,
         total: 5_000_000,
+        pending: 800,
         backlogged: true,
         lead: 0.0,
     });
