refactor(trial): logic that stood twice stands once

Change: one drawing of lines, one answer of the stand-ins' logs, one group of booking callers in tests, a writer for the capacity table's rows.

--- a/crates/trial/src/capacity/table.rs
+++ b/crates/trial/src/capacity/table.rs
@@ -146,29 +146,11 @@
 /// The table of the page, worked out from slopes.
 #[must_use]
 pub fn capacity_table(slopes: &Slopes, size: &FleetSize) -> String {
-    let mut table = String::from(
-        "| role | quantity | worked out as | value | limit | fits |\n|---|---|---|---|---|---|\n",
-    );
-    let mut row =
-        |role: &str, quantity: &str, formula: &str, value: f64, unit: &str, limit: f64| {
-            let (limit, fits) = if limit.is_finite() {
-                (
-                    format!("{} {unit}", round(limit)),
-                    if value <= limit { "yes" } else { "**no**" },
-                )
-            } else {
-                ("—".into(), "—")
-            };
-            let value = round(value);
-            let _ = writeln!(
-                table,
-                "| {role} | {quantity} | {formula} | {value} {unit} | {limit} | {fits} |"
-            );
-        };
-    add_router_rows(slopes, size, &mut row);
-    add_sidecar_rows(slopes, size, &mut row);
-    add_document_rows(slopes, size, &mut row);
-    table
+    let mut table = TableWriter::new();
+    add_router_rows(slopes, size, &mut table);
+    add_sidecar_rows(slopes, size, &mut table);
+    add_document_rows(slopes, size, &mut table);
+    table.text
 }
 
 /// Reads slopes from a file and prints the table.
@@ -183,11 +165,51 @@
     Ok(())
 }
 
-type AddRow<'a> = &'a mut dyn FnMut(&str, &str, &str, f64, &str, f64);
+/// Writes the rows of the table.
+struct TableWriter {
+    text: String,
+}
+
+impl TableWriter {
+    fn new() -> Self {
+        let heading = "| role | quantity | worked out as | value | limit | fits |";
+        Self {
+            text: format!(
+                "{heading}
+|---|---|---|---|---|---|
+"
+            ),
+        }
+    }
+
+    fn row(
+        &mut self,
+        role: &str,
+        quantity: &str,
+        formula: &str,
+        value: f64,
+        unit: &str,
+        limit: f64,
+    ) {
+        let (limit, fits) = if limit.is_finite() {
+            (
+                format!("{} {unit}", round(limit)),
+                if value <= limit { "yes" } else { "**no**" },
+            )
+        } else {
+            ("—".into(), "—")
+        };
+        let value = round(value);
+        let _ = writeln!(
+            self.text,
+            "| {role} | {quantity} | {formula} | {value} {unit} | {limit} | {fits} |"
+        );
+    }
+}
 
 const NO_LIMIT: f64 = f64::INFINITY;
 
-fn add_router_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+fn add_router_rows(slopes: &Slopes, size: &FleetSize, table: &mut TableWriter) {
     let requests = size.requests / size.routers;
     let cpu = slopes.slope("router", |run| run.requests, |run| run.core_percent[0]);
     let base_cpu = slopes.base("router", |run| run.core_percent[0]);
@@ -198,7 +220,7 @@
     let control = slopes.slope("router", |run| run.requests, |run| run.control_bytes);
     let config = slopes.part("configuration memory", &[7_200]) / MIB;
     let links = size.models * size.subset;
-    row(
+    table.row(
         "router",
         "requests",
         "requests / routers",
@@ -206,7 +228,7 @@
         "a second",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "router",
         "processor, whole path",
         "base + slope · requests",
@@ -214,7 +236,7 @@
         "% of a core",
         CORE_LIMIT_PERCENT,
     );
-    row(
+    table.row(
         "router",
         "control bytes",
         "slope · requests",
@@ -222,7 +244,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "router",
         "connections, to every sidecar",
         "sidecars",
@@ -230,7 +252,7 @@
         "",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "router",
         "memory, connected to every sidecar",
         "base + config + slope · sidecars",
@@ -238,7 +260,7 @@
         "MiB",
         MEMORY_LIMIT_MIB,
     );
-    row(
+    table.row(
         "router",
         "connections, subset",
         "models · subset",
@@ -246,7 +268,7 @@
         "",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "router",
         "memory, subset",
         "base + config + slope · models · subset",
@@ -256,7 +278,7 @@
     );
 }
 
-fn add_sidecar_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+fn add_sidecar_rows(slopes: &Slopes, size: &FleetSize, table: &mut TableWriter) {
     let requests = size.requests / size.sidecars;
     let peers = size.sidecars / size.models;
     let waiting = size.customers * size.backlogged_part / size.models;
@@ -275,7 +297,7 @@
     let depth = (peers.ln() / size.fanout.ln()).ceil();
     let links = size.routers * size.subset / peers;
     let config = slopes.part("configuration memory", &[7_200]) / MIB;
-    row(
+    table.row(
         "sidecar",
         "requests",
         "requests / sidecars",
@@ -283,7 +305,7 @@
         "a second",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "processor, whole path",
         "base + slope · requests",
@@ -291,7 +313,7 @@
         "% of a core",
         CORE_LIMIT_PERCENT,
     );
-    row(
+    table.row(
         "sidecar",
         "processor for grants, 720 customers waiting",
         "grant · requests",
@@ -299,7 +321,7 @@
         "% of a core",
         CORE_LIMIT_PERCENT,
     );
-    row(
+    table.row(
         "sidecar",
         "customers waiting at one model",
         "customers · backlogged / models",
@@ -307,7 +329,7 @@
         "",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "control bytes for requests",
         "slope · requests",
@@ -315,7 +337,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "totals, to every peer",
         "2 · peers · frame / interval",
@@ -323,7 +345,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "processor for merging them",
         "peers / interval · merge",
@@ -331,7 +353,7 @@
         "% of a core",
         CORE_LIMIT_PERCENT,
     );
-    row(
+    table.row(
         "sidecar",
         "totals, tree",
         "(2 · fanout + 2) · frame / tree interval",
@@ -339,7 +361,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "totals, tree, with control of requests",
         "sum of both",
@@ -347,7 +369,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "age of totals, tree",
         "depth · tree interval",
@@ -355,7 +377,7 @@
         "s",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "connections, subset",
         "routers · subset / peers",
@@ -363,7 +385,7 @@
         "",
         NO_LIMIT,
     );
-    row(
+    table.row(
         "sidecar",
         "memory",
         "base + config + slope · (connections + fanout + 1)",
@@ -373,7 +395,7 @@
     );
 }
 
-fn add_document_rows(slopes: &Slopes, size: &FleetSize, row: AddRow<'_>) {
+fn add_document_rows(slopes: &Slopes, size: &FleetSize, table: &mut TableWriter) {
     let processes = size.routers + size.sidecars;
     let changes = size.config_changes / DAY_SECONDS;
     let text = slopes.part("configuration length", &[7_200]);
@@ -381,7 +403,7 @@
     let watches = size.zones * READERS * DOCUMENTS / WATCH_SECONDS;
     let idle = processes * DOCUMENTS / IDLE_READ_SECONDS;
     let zone = processes / size.zones;
-    row(
+    table.row(
         "all",
         "reads at the platform",
         "zones · 2 readers · 2 documents / 2 s + processes · 2 / 120 s",
@@ -389,7 +411,7 @@
         "a second",
         READS_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "the same with a watch for every process",
         "processes · changes a second + processes · 2 / 2 s",
@@ -397,7 +419,7 @@
         "a second",
         READS_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "reads when a zone comes back within 10 s",
         "processes / zones · 2 documents · 2 tries / 10 s",
@@ -405,7 +427,7 @@
         "a second",
         READS_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "configuration, whole text for each change",
         "length · changes a second",
@@ -413,7 +435,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "processor for checking it",
         "check · changes a second",
@@ -421,7 +443,7 @@
         "% of a core",
         CORE_LIMIT_PERCENT,
     );
-    row(
+    table.row(
         "all",
         "configuration, changed entries only, sent to two",
         "3 · 200 B · changes a second",
@@ -429,7 +451,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "host list, whole text for each change",
         "130 B · processes · changes a second",
@@ -437,7 +459,7 @@
         "B/s",
         BYTES_LIMIT,
     );
-    row(
+    table.row(
         "all",
         "host list, changed entries only, sent to two",
         "3 · 130 B · changes a second",
--- a/crates/trial/src/report/plot.rs
+++ b/crates/trial/src/report/plot.rs
@@ -1,5 +1,6 @@
 use std::path::Path;
 
+use plotters::coord::Shift;
 use plotters::prelude::*;
 
 use super::TrialReport;
@@ -16,22 +17,37 @@
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE)?;
     let (upper, lower) = area.split_vertically(SIZE.1 / 2);
-    let seconds = report
-        .series
-        .iter()
-        .map(|(_, line)| line.len())
-        .max()
-        .unwrap_or(1);
-    let most = report
-        .series
-        .iter()
-        .filter_map(|(_, line)| line.last().copied());
-    let most = most.fold(1.0, f64::max);
     let caption = format!(
         "service by customer, {} ({})",
         report.scenario, report.policy
     );
-    let mut chart = ChartBuilder::on(&upper)
+    let lines: Vec<&[f64]> = report
+        .series
+        .iter()
+        .map(|(_, line)| line.as_slice())
+        .collect();
+    draw_lines(&upper, &caption, &lines)?;
+    draw_lines(
+        &lower,
+        "gap between backlogged customers",
+        &[&report.gap_series],
+    )?;
+    area.present()?;
+    Ok(())
+}
+
+/// Draws a line for each row of values, one value a second.
+fn draw_lines(
+    area: &DrawingArea<SVGBackend<'_>, Shift>,
+    caption: &str,
+    lines: &[&[f64]],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let seconds = lines.iter().map(|line| line.len()).max().unwrap_or(1);
+    let most = lines
+        .iter()
+        .flat_map(|line| line.iter().copied())
+        .fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
         .caption(caption, ("sans-serif", 16))
         .margin(10)
         .x_label_area_size(30)
@@ -42,7 +58,7 @@
         .x_desc("seconds")
         .y_desc("cost units")
         .draw()?;
-    for (index, (_, line)) in report.series.iter().enumerate() {
+    for (index, line) in lines.iter().enumerate() {
         let style = Palette99::pick(index);
         let points = line
             .iter()
@@ -50,22 +66,5 @@
             .map(|(second, value)| (second, *value));
         chart.draw_series(LineSeries::new(points, &style))?;
     }
-    let most = report.gap_series.iter().copied().fold(1.0, f64::max);
-    let start = seconds.saturating_sub(report.gap_series.len());
-    let mut chart = ChartBuilder::on(&lower)
-        .caption("gap between backlogged customers", ("sans-serif", 16))
-        .margin(10)
-        .x_label_area_size(30)
-        .y_label_area_size(70)
-        .build_cartesian_2d(0..seconds, 0.0..most)?;
-    chart
-        .configure_mesh()
-        .x_desc("seconds")
-        .y_desc("cost units")
-        .draw()?;
-    let points = report.gap_series.iter().enumerate();
-    let points = points.map(|(second, value)| (start + second, *value));
-    chart.draw_series(LineSeries::new(points, &RED))?;
-    area.present()?;
     Ok(())
 }
--- a/crates/trial/src/standin/engine.rs
+++ b/crates/trial/src/standin/engine.rs
@@ -50,11 +50,8 @@
 }
 
 async fn answer(state: Arc<EngineState>, request: Request<Incoming>) -> Response<StandinBody> {
-    match request.uri().path() {
-        "/log" => return respond(200, state.log.effects_json()),
-        "/usage" => return respond(200, state.log.usage_json()),
-        "/state" => return respond(200, state.log.state_json()),
-        _ => {}
+    if let Some(text) = state.log.answer(request.uri().path()) {
+        return respond(200, text);
     }
     let (parts, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
--- a/crates/trial/src/standin/ledger.rs
+++ b/crates/trial/src/standin/ledger.rs
@@ -82,6 +82,17 @@
         self.lock().cancelled += 1;
     }
 
+    /// What the log says at a path; none for paths that are the endpoint's own.
+    #[must_use]
+    pub fn answer(&self, path: &str) -> Option<String> {
+        match path {
+            "/log" => Some(self.effects_json()),
+            "/usage" => Some(self.usage_json()),
+            "/state" => Some(self.state_json()),
+            _ => None,
+        }
+    }
+
     /// Effects as JSON.
     #[must_use]
     pub fn effects_json(&self) -> String {
--- a/crates/trial/src/standin/service.rs
+++ b/crates/trial/src/standin/service.rs
@@ -54,11 +54,8 @@
 }
 
 async fn answer(state: Arc<ServiceState>, request: Request<Incoming>) -> Response<StandinBody> {
-    match request.uri().path() {
-        "/log" => return respond(200, state.log.effects_json()),
-        "/usage" => return respond(200, state.log.usage_json()),
-        "/state" => return respond(200, state.log.state_json()),
-        _ => {}
+    if let Some(text) = state.log.answer(request.uri().path()) {
+        return respond(200, text);
     }
     let (parts, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
--- a/crates/trial/tests/membership.rs
+++ b/crates/trial/tests/membership.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use support::{
-    booking, completion, desk_fleet, effects_of, model_fleet, new_key, send, settle, wait_for,
+    booking, booking_group, completion, desk_fleet, effects_of, model_fleet, new_key, send, settle,
+    wait_for,
 };
-use trial::load::{CallVerdict, CallerGroup, LoadRun, LoadStyle};
+use trial::load::{CallVerdict, LoadRun};
 
 /// An endpoint that is leaving gets no new work after this time.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
@@ -182,18 +183,7 @@
 fn a_rolling_restart_under_load_cuts_loses_and_repeats_nothing() {
     let mut fleet = desk_fleet(3, 2).start().expect("a fleet");
     settle(&fleet);
-    let groups = ["skole", "kor"].map(|customer| CallerGroup {
-        customer: customer.into(),
-        kind: "booking".into(),
-        path: "/bookings".into(),
-        is_model: false,
-        cost: (10, 60),
-        style: LoadStyle::Open(15.0),
-        skew_percent: 0,
-        span: (Duration::ZERO, Duration::from_secs(60)),
-        has_key: false,
-        pinned: None,
-    });
+    let groups = ["skole", "kor"].map(|customer| booking_group(customer, 15.0, false));
     let routers = fleet.routers.iter().map(|router| router.callers).collect();
     let load = LoadRun::start(groups.to_vec(), routers, 7).expect("a load");
     trial::scenario::FleetEvent::RollAll
@@ -248,18 +238,7 @@
             CallVerdict::Complete
         );
     }
-    let group = CallerGroup {
-        customer: "skole".into(),
-        kind: "booking".into(),
-        path: "/bookings".into(),
-        is_model: false,
-        cost: (10, 60),
-        style: LoadStyle::Open(20.0),
-        skew_percent: 0,
-        span: (Duration::ZERO, Duration::from_secs(60)),
-        has_key: true,
-        pinned: None,
-    };
+    let group = booking_group("skole", 20.0, true);
     let routers = fleet.routers.iter().map(|router| router.callers).collect();
     let load = LoadRun::start(vec![group], routers, 11).expect("a load");
     trial::scenario::FleetEvent::RollAll
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use trial::fleet::{FleetBuilder, RunningFleet, ServicePlan};
-use trial::load::{CallAnswer, CallPlan, call};
+use trial::load::{CallAnswer, CallPlan, CallerGroup, LoadStyle, call};
 
 /// The trial binary, which also runs the product's code and the stand-ins.
 pub fn program() -> PathBuf {
@@ -66,6 +66,22 @@
     std::thread::sleep(Duration::from_millis(4_000));
 }
 
+/// Callers of bookings at so many a second.
+pub fn booking_group(customer: &str, rate: f64, has_key: bool) -> CallerGroup {
+    CallerGroup {
+        customer: customer.into(),
+        kind: "booking".into(),
+        path: "/bookings".into(),
+        is_model: false,
+        cost: (10, 60),
+        style: LoadStyle::Open(rate),
+        skew_percent: 0,
+        span: (Duration::ZERO, Duration::from_secs(60)),
+        has_key,
+        pinned: None,
+    }
+}
+
 /// A booking, with a key if there is one.
 pub fn booking(key: Option<&str>, body: &str) -> CallPlan {
     let headers = key.map(|key| ("idempotency-key".to_owned(), key.to_owned()));
