fix(node): a stopping sidecar ends its calls before its connections

Cause: found by reading: the hub ends when its machine has settled every call, but the thread that calls the endpoint may still have the end of an answer to pass on; connections were ended 200 ms later whatever it did. Ruled out: waiting longer, which only makes it rarer. Change: the hub returns the open connections; the endpoint's thread is joined before them.

--- a/crates/cicadalock-node/src/cli/daemon.rs
+++ b/crates/cicadalock-node/src/cli/daemon.rs
@@ -164,7 +164,8 @@
         let _ = stop.send(HubInput::Role(RouterInput::PortClosed));
     })?;
     drop(hub);
-    parts.hub(process, identity).build(role, ring, links).run();
+    let links = parts.hub(process, identity).build(role, ring, links).run();
+    links.join();
     finish(signals, watchers, admin, parts);
     Ok(())
 }
@@ -210,8 +211,10 @@
         let _ = stop.send(HubInput::Stop);
     })?;
     drop(hub);
-    parts.hub(process, identity).build(role, ring, links).run();
+    let links = parts.hub(process, identity).build(role, ring, links).run();
+    // Calls that have ended still pass the ends of their answers on.
     endpoint.join();
+    links.join();
     finish(signals, watchers, admin, parts);
     Ok(())
 }
--- a/crates/cicadalock-node/src/hub/hub_loop.rs
+++ b/crates/cicadalock-node/src/hub/hub_loop.rs
@@ -1,7 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use cicadalock_core::config::FleetConfig;
 use cicadalock_core::id::{HostName, LinkId, Revision};
@@ -153,8 +152,9 @@
 }
 
 impl<R: HubRole> HubLoop<R> {
-    /// Runs until a planned stop is complete, and ends the connections.
-    pub fn run(mut self) {
+    /// Runs until a planned stop is complete, and returns the connections, which are still open.
+    #[must_use]
+    pub fn run(mut self) -> LinkService {
         self.update_targets();
         loop {
             let now = self.context.clock.now();
@@ -171,10 +171,8 @@
                 break;
             }
         }
-        // Writers get a moment to send what is in their rings.
-        std::thread::sleep(FLUSH_PAUSE);
-        drop(self.ring);
-        self.service.join();
+        // The role's other threads end when they find its rings gone.
+        self.service
     }
 
     fn take_batch(&mut self, first: HubInput<R::Input>) {
@@ -380,6 +378,3 @@
         })
     }
 }
-
-/// Time for writers to empty their rings before connections end.
-const FLUSH_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/cicadalock-node/src/links/service.rs
+++ b/crates/cicadalock-node/src/links/service.rs
@@ -25,6 +25,9 @@
 /// Longest time to reach a peer.
 const DIAL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time for writers to empty their rings before connections end.
+const FLUSH_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -74,8 +77,9 @@
         });
     }
 
-    /// Ends every connection and the thread.
+    /// Lets writers empty their rings, then ends every connection and the thread.
     pub fn join(self) {
+        std::thread::sleep(FLUSH_PAUSE);
         self.stop.cancel();
         let _ = self.thread.join();
     }
