--- a/crates/cicadalock-core/src/sidecar/action.rs
+++ b/crates/cicadalock-core/src/sidecar/action.rs
@@ -41,6 +41,8 @@
     pub kind: KindId,
     /// The request.
     pub request: HandOver,
+    /// When the grant was offered.
+    pub offered: ClockTime,
     /// When the request came.
     pub received: ClockTime,
     /// The call must not begin later than this.
--- a/crates/cicadalock-core/src/sidecar/grant.rs
+++ b/crates/cicadalock-core/src/sidecar/grant.rs
@@ -24,6 +24,7 @@
     /// The request is here and waits for a free slot.
     Staged {
         request: Box<HandOver>,
+        offered: ClockTime,
         received: ClockTime,
         deadline: ClockTime,
     },
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -43,8 +43,11 @@
             return;
         }
         let deadline = now + Duration::from_millis(request.remaining_ms);
-        if let Some(grant) = self.grants.get_mut(&id) {
+        if let Some(grant) = self.grants.get_mut(&id)
+            && let GrantPhase::Offered { at: offered } = grant.phase
+        {
             grant.phase = GrantPhase::Staged {
+                offered,
                 request: Box::new(request),
                 received: now,
                 deadline,
@@ -66,6 +69,7 @@
             charged: 0,
             estimate: 0,
             phase: GrantPhase::Staged {
+                offered: now,
                 received: now,
                 deadline: now + Duration::from_millis(request.remaining_ms),
                 request: Box::new(request),
@@ -142,6 +146,7 @@
             .is_none_or(|kind: &KindConfig| kind.idempotent);
         let GrantPhase::Staged {
             request,
+            offered,
             received,
             deadline,
         } = grant.phase.clone()
@@ -160,6 +165,7 @@
             customer: grant.customer,
             kind: grant.kind,
             request: *request,
+            offered,
             received,
             start_by,
             deadline,
--- a/crates/cicadalock-node/src/endpoint/call.rs
+++ b/crates/cicadalock-node/src/endpoint/call.rs
@@ -75,7 +75,7 @@
     pub(super) async fn run(self) -> GrantId {
         let context = Arc::clone(&self.context);
         let grant = self.call.order.grant;
-        let received = self.call.order.received;
+        let (offered, received) = (self.call.order.offered, self.call.order.received);
         let began = context.clock.now();
         let request = &self.call.order.request;
         let trace = traceparent(request);
@@ -87,6 +87,14 @@
         let (result, cost) = self.attempt(&mut relay, own).await;
         let status = result_name(&result);
         if let (Some(trace), Some(own)) = (trace, own) {
+            context.span(
+                "sidecar.grant",
+                trace,
+                trace.child(),
+                offered,
+                received,
+                "used",
+            );
             context.span(
                 "sidecar.stage",
                 trace,
--- a/crates/trial/tests/answers.rs
+++ b/crates/trial/tests/answers.rs
@@ -254,3 +254,32 @@
     let status = fleet.status(fleet.sidecars[0].admin).expect("a status");
     assert_eq!(status["role"]["is_failing"], false);
 }
+
+#[test]
+fn a_request_leaves_a_span_for_each_hop_in_the_callers_trace() {
+    let collector = trial::report::TraceCollector::start().expect("a collector");
+    let fleet = desk_fleet(2, 1)
+        .traces(collector.address())
+        .start()
+        .expect("a fleet");
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let header = format!("00-{trace}-00f067aa0ba902b7-01");
+    let plan = with_header(booking(None, "traced"), "traceparent", &header);
+    assert_eq!(
+        send(fleet.routers[0].callers, &plan).verdict,
+        CallVerdict::Complete
+    );
+    std::thread::sleep(Duration::from_millis(300));
+    let spans = collector.finish();
+    let own = spans.iter().filter(|span| span["trace"] == trace);
+    let mut names: Vec<&str> = own.filter_map(|span| span["name"].as_str()).collect();
+    names.sort_unstable();
+    let hops = [
+        "endpoint.call",
+        "router.queue",
+        "router.request",
+        "sidecar.grant",
+        "sidecar.stage",
+    ];
+    assert_eq!(names, hops);
+}
--- a/crates/trial/tests/membership.rs
+++ b/crates/trial/tests/membership.rs
@@ -263,3 +263,33 @@
         assert_eq!(effects_of(&fleet, "udlaan", &plan.body), 1);
     }
 }
+
+#[test]
+fn a_router_told_to_stop_during_a_stream_cuts_nothing_and_takes_no_more() {
+    let mut fleet = model_fleet(2, Duration::from_millis(40))
+        .start()
+        .expect("a fleet");
+    let router = fleet.routers[0].callers;
+    let stream = support::send_aside(router, completion(70));
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.routers[0]
+        .child
+        .as_ref()
+        .expect("a router")
+        .terminate();
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(
+        TcpStream::connect(router).is_err(),
+        "the port is still open"
+    );
+    assert_eq!(
+        stream.join().expect("a caller").verdict,
+        CallVerdict::Complete
+    );
+    let status = fleet.routers[0]
+        .child
+        .as_mut()
+        .expect("a router")
+        .wait(Duration::from_secs(10));
+    assert!(status.expect("the router ends").success());
+}
