fix(node): a newer revision is asked for although an older one was just asked for

Change: the pause holds for the revision asked for and older ones. Left: a fetch whose answer is lost is repeated only at the next frame.

--- a/crates/cicadalock-node/src/hub/documents.rs
+++ b/crates/cicadalock-node/src/hub/documents.rs
@@ -8,7 +8,7 @@
 use cicadalock_core::revision::{Document, DocumentKind, DocumentStore};
 use cicadalock_core::time::ClockTime;
 
-/// A document that was asked for is not asked for again within this time.
+/// A revision that was asked for is not asked for again within this time.
 const FETCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// The documents in force, and the last ones that were rejected.
@@ -17,7 +17,8 @@
     site: String,
     store: DocumentStore,
     rejected: SortedMap<DocumentKind, RejectedDocument>,
-    asked: SortedMap<DocumentKind, ClockTime>,
+    /// Newest revision that was asked for, and when.
+    asked: SortedMap<DocumentKind, (Revision, ClockTime)>,
 }
 
 #[derive(Debug, Clone)]
@@ -90,12 +91,11 @@
         if Revision::new(revision) <= self.revision(kind) {
             return false;
         }
-        let is_asked = self
-            .asked
-            .get(&kind)
-            .is_some_and(|asked| now.since(*asked) < FETCH_PAUSE);
+        let is_asked = self.asked.get(&kind).is_some_and(|(asked, at)| {
+            Revision::new(revision) <= *asked && now.since(*at) < FETCH_PAUSE
+        });
         if !is_asked {
-            self.asked.insert(kind, now);
+            self.asked.insert(kind, (Revision::new(revision), now));
         }
         !is_asked
     }
