refactor: one piece where logic stood twice, and no copy of kept answers

Cause: the read of the whole change. A finished call's result, with its kept answer of up to 64 KiB, was copied to look at its kind; bids were copied to be sent; dialled links, endpoint logs and the rolling test's load each stood twice; one method only called another. Change: those. Behaviour and assertions are unchanged.

--- a/crates/cicadalock-core/src/member/view_lease.rs
+++ b/crates/cicadalock-core/src/member/view_lease.rs
@@ -109,21 +109,13 @@
         }
     }
 
-    /// Notes that a peer has said that it runs no more keys.
+    /// Notes that a peer runs no more keys; it counts again as soon as it speaks.
     pub fn depart(&mut self, peer: &HostName) {
         self.peers
             .get_or_insert_with(peer.clone(), PeerWord::default)
             .departed = true;
     }
 
-    /// Notes that nothing listens at a peer's address: its process has ended.
-    ///
-    /// A process that sleeps or is cut off does not refuse connections. The peer counts again as
-    /// soon as it speaks.
-    pub fn refused(&mut self, peer: &HostName) {
-        self.depart(peer);
-    }
-
     /// Gives up every confirmation, so that the view must be confirmed anew.
     pub fn suspend(&mut self) {
         self.restart(self.epoch, None);
--- a/crates/cicadalock-core/src/router/bidding.rs
+++ b/crates/cicadalock-core/src/router/bidding.rs
@@ -32,11 +32,9 @@
         for key in dirty {
             self.plan_queue(key, now, &mut updates);
         }
-        for (link, lines) in updates.iter() {
-            let message = PeerMessage::Bid(BidUpdate {
-                lines: lines.clone(),
-            });
-            self.send(*link, message);
+        for (link, lines) in updates.iter_mut() {
+            let lines = std::mem::take(lines);
+            self.send(*link, PeerMessage::Bid(BidUpdate { lines }));
         }
     }
 
--- a/crates/cicadalock-core/src/sidecar/exchange.rs
+++ b/crates/cicadalock-core/src/sidecar/exchange.rs
@@ -85,14 +85,14 @@
         }
     }
 
+    /// Connections that this process opened, on which it reports.
+    pub(super) fn dialled_links(&self) -> Vec<LinkId> {
+        let dialled = self.peers.iter().filter(|(_, peer)| peer.is_dialled);
+        dialled.map(|(link, _)| *link).collect()
+    }
+
     fn send_views(&mut self, now: ClockTime) {
-        let links: Vec<LinkId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.is_dialled)
-            .map(|(link, _)| *link)
-            .collect();
-        for link in links {
+        for link in self.dialled_links() {
             let Some(peer) = self.peers.get(&link) else {
                 continue;
             };
--- a/crates/cicadalock-core/src/sidecar/hand_off.rs
+++ b/crates/cicadalock-core/src/sidecar/hand_off.rs
@@ -46,9 +46,7 @@
             complete_since: since.as_unix_millis(),
             keys: keys.into_iter().map(message_from_key).collect(),
         };
-        let dialled = self.peers.iter().filter(|(_, peer)| peer.is_dialled);
-        let links: Vec<LinkId> = dialled.map(|(link, _)| *link).collect();
-        for link in links {
+        for link in self.dialled_links() {
             self.send(link, PeerMessage::HandOff(message.clone()));
         }
     }
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -237,10 +237,13 @@
         );
     }
 
-    /// Notes that the host of a peer refuses connections; a peer that is connected is not dead.
+    /// Notes that nothing listens at a peer's address: its process has ended.
+    ///
+    /// A process that sleeps or is cut off does not refuse connections; one that is connected has
+    /// not ended.
     pub fn peer_refused(&mut self, host: &HostName) {
         if !self.peers.values().any(|peer| peer.host == *host) {
-            self.lease.refused(host);
+            self.lease.depart(host);
         }
     }
 
--- a/crates/cicadalock-core/src/sidecar/work.rs
+++ b/crates/cicadalock-core/src/sidecar/work.rs
@@ -240,7 +240,10 @@
             .charge(grant.customer, grant.kind, cost - grant.charged);
         let number = own_grant(grant.link, id.get());
         let key = grant.key().cloned();
-        match result.clone() {
+        if result == CallResult::Broken {
+            self.judge_status(grant.customer, FIRST_FAILURE_STATUS, now);
+        }
+        match result {
             CallResult::NotReached => {
                 self.backoff.fail(now);
                 self.not_run(&grant, key.as_ref(), number, refusal_reason::ENDPOINT_DOWN);
@@ -256,9 +259,6 @@
                 }
             }
             CallResult::Broken | CallResult::Abandoned => {
-                if result == CallResult::Broken {
-                    self.judge_status(grant.customer, FIRST_FAILURE_STATUS, now);
-                }
                 if let Some(key) = key {
                     self.ledger.finish(grant.customer, &key, None);
                 }
--- a/crates/trial/src/fleet/running.rs
+++ b/crates/trial/src/fleet/running.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -262,27 +263,13 @@
     /// Effects that the endpoints of `service` logged.
     #[must_use]
     pub fn effects(&self, service: &str) -> Vec<EffectEntry> {
-        let endpoints = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.plan.name == service);
-        endpoints
-            .filter_map(|endpoint| get_json::<Vec<EffectEntry>>(endpoint.address, "/log"))
-            .flatten()
-            .collect()
+        self.entries(service, "/log")
     }
 
     /// Usage that the endpoints of `service` logged.
     #[must_use]
     pub fn usage(&self, service: &str) -> Vec<UsageEntry> {
-        let endpoints = self
-            .endpoints
-            .iter()
-            .filter(|endpoint| endpoint.plan.name == service);
-        endpoints
-            .filter_map(|endpoint| get_json::<Vec<UsageEntry>>(endpoint.address, "/usage"))
-            .flatten()
-            .collect()
+        self.entries(service, "/usage")
     }
 
     /// Status ports of all routers and sidecars.
@@ -299,6 +286,16 @@
         routers.chain(sidecars).collect()
     }
 
+    /// What the endpoints of `service` that answer have at `path`.
+    fn entries<T: DeserializeOwned>(&self, service: &str, path: &str) -> Vec<T> {
+        let endpoints = self.endpoints.iter();
+        endpoints
+            .filter(|endpoint| endpoint.plan.name == service)
+            .filter_map(|endpoint| get_json::<Vec<T>>(endpoint.address, path))
+            .flatten()
+            .collect()
+    }
+
     fn start_daemon(&self, role: &str, name: &str, settings: &str) -> std::io::Result<ChildGuard> {
         let path = self.folder.path().join(format!("{name}.toml"));
         std::fs::write(&path, settings)?;
--- a/crates/trial/tests/membership.rs
+++ b/crates/trial/tests/membership.rs
@@ -10,18 +10,20 @@
     booking, booking_group, completion, desk_fleet, effects_of, model_fleet, new_key, send, settle,
     wait_for,
 };
-use trial::load::{CallVerdict, LoadRun};
+use trial::fleet::RunningFleet;
+use trial::load::{CallRecord, CallVerdict, CallerGroup, LoadRun};
+use trial::scenario::FleetEvent;
 
 /// An endpoint that is leaving gets no new work after this time.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
-fn served_by(fleet: &trial::fleet::RunningFleet, index: usize) -> usize {
+fn served_by(fleet: &RunningFleet, index: usize) -> usize {
     let address = fleet.endpoints[index].address;
     let effects: Option<Vec<serde_json::Value>> = trial::fleet::get_json(address, "/log");
     effects.map_or(0, |effects| effects.len())
 }
 
-fn send_many(fleet: &trial::fleet::RunningFleet, count: usize) {
+fn send_many(fleet: &RunningFleet, count: usize) {
     for number in 0..count {
         let answer = send(
             fleet.routers[0].callers,
@@ -31,6 +33,33 @@
     }
 }
 
+/// Stops and starts every process in turn under load; every request must be answered whole.
+fn roll_under_load(
+    fleet: &mut RunningFleet,
+    groups: Vec<CallerGroup>,
+    seed: u64,
+) -> Vec<CallRecord> {
+    let routers = fleet.routers.iter().map(|router| router.callers).collect();
+    let load = LoadRun::start(groups, routers, seed).expect("a load");
+    FleetEvent::RollAll
+        .apply(fleet, &load)
+        .expect("a rolling restart");
+    std::thread::sleep(Duration::from_millis(500));
+    let records = load.finish(Duration::from_secs(15));
+    let failed: Vec<_> = records
+        .iter()
+        .filter(|record| record.verdict != CallVerdict::Complete)
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "{} of {} failed: {:?}",
+        failed.len(),
+        records.len(),
+        failed.first()
+    );
+    records
+}
+
 #[test]
 fn an_endpoint_that_is_listed_as_leaving_gets_no_new_work() {
     let mut fleet = desk_fleet(2, 1).start().expect("a fleet");
@@ -184,24 +213,7 @@
     let mut fleet = desk_fleet(3, 2).start().expect("a fleet");
     settle(&fleet);
     let groups = ["skole", "kor"].map(|customer| booking_group(customer, 15.0, false));
-    let routers = fleet.routers.iter().map(|router| router.callers).collect();
-    let load = LoadRun::start(groups.to_vec(), routers, 7).expect("a load");
-    trial::scenario::FleetEvent::RollAll
-        .apply(&mut fleet, &load)
-        .expect("a rolling restart");
-    std::thread::sleep(Duration::from_millis(500));
-    let records = load.finish(Duration::from_secs(15));
-    let failed: Vec<_> = records
-        .iter()
-        .filter(|record| record.verdict != CallVerdict::Complete)
-        .collect();
-    assert!(
-        failed.is_empty(),
-        "{} of {} failed: {:?}",
-        failed.len(),
-        records.len(),
-        failed.first()
-    );
+    let records = roll_under_load(&mut fleet, groups.to_vec(), 7);
     assert!(records.iter().all(|record| record.is_own));
 }
 
@@ -239,24 +251,7 @@
         );
     }
     let group = booking_group("skole", 20.0, true);
-    let routers = fleet.routers.iter().map(|router| router.callers).collect();
-    let load = LoadRun::start(vec![group], routers, 11).expect("a load");
-    trial::scenario::FleetEvent::RollAll
-        .apply(&mut fleet, &load)
-        .expect("a rolling restart");
-    std::thread::sleep(Duration::from_millis(500));
-    let records = load.finish(Duration::from_secs(15));
-    let failed: Vec<_> = records
-        .iter()
-        .filter(|record| record.verdict != CallVerdict::Complete)
-        .collect();
-    assert!(
-        failed.is_empty(),
-        "{} of {} failed: {:?}",
-        failed.len(),
-        records.len(),
-        failed.first()
-    );
+    roll_under_load(&mut fleet, vec![group], 11);
     for plan in &plans {
         let retry = send(fleet.routers[1].callers, plan);
         assert_eq!(retry.verdict, CallVerdict::Complete, "{}", plan.body);
