--- /dev/null
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -0,0 +1,65 @@
+use crate::desk::{EndpointDesk, GateLimits};
+use crate::place::EndpointHealth;
+use crate::serving::{ListedEndpoint, ServiceTraits};
+use crate::time::ClockTime;
+
+/// What a gateway knows of one endpoint.
+#[derive(Debug)]
+pub(super) struct EndpointState {
+    pub(super) listed: ListedEndpoint,
+    pub(super) desk: EndpointDesk,
+    pub(super) health: EndpointHealth,
+    /// Requests of this gateway at the endpoint.
+    pub(super) own: u32,
+    /// Another incarnation answered at the address.
+    pub(super) is_replaced: bool,
+}
+
+impl EndpointState {
+    pub(super) fn new(listed: ListedEndpoint, traits: Option<&ServiceTraits>) -> Self {
+        let limits = gate_limits(&listed, traits);
+        Self {
+            listed,
+            desk: EndpointDesk::new(limits),
+            health: EndpointHealth::default(),
+            own: 0,
+            is_replaced: false,
+        }
+    }
+
+    /// Takes in a new entry of the same incarnation.
+    pub(super) fn relist(&mut self, listed: ListedEndpoint, traits: Option<&ServiceTraits>) {
+        let pause = self.desk.gate().limits().pause;
+        let limits = GateLimits {
+            pause,
+            ..gate_limits(&listed, traits)
+        };
+        self.desk.gate_mut().set_limits(limits);
+        self.listed = listed;
+    }
+
+    /// Tells whether new work may go there.
+    pub(super) const fn is_usable(&self) -> bool {
+        !self.listed.is_draining && !self.is_replaced
+    }
+
+    pub(super) fn is_suspect(&self, now: ClockTime) -> bool {
+        self.health.is_suspect(now)
+    }
+}
+
+/// Requests kept at an application endpoint beyond its slots, as a part of them.
+///
+/// A short queue there hides the way to it; more would wait where nobody can leave.
+const APPLICATION_AHEAD: f64 = 0.5;
+
+fn gate_limits(listed: &ListedEndpoint, traits: Option<&ServiceTraits>) -> GateLimits {
+    let memory = traits.and_then(|traits| traits.engine_tokens);
+    match memory {
+        Some(memory) => GateLimits::engine(listed.slots, memory),
+        None => {
+            let ahead = (f64::from(listed.slots) * APPLICATION_AHEAD).ceil() as u32;
+            GateLimits::application(listed.slots + ahead)
+        }
+    }
+}
--- a/crates/cicadalock-core/src/id/mod.rs
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -11,7 +11,7 @@
 mod name;
 mod number;
 
-pub use name::{CustomerName, HostName, KindName, NameError, ServiceName, ZoneName};
+pub use name::{CustomerName, EndpointId, HostName, KindName, NameError, ServiceName, ZoneName};
 pub use number::{
     CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision,
 };
--- a/crates/cicadalock-core/src/id/name.rs
+++ b/crates/cicadalock-core/src/id/name.rs
@@ -65,6 +65,10 @@
     /// Name of an availability zone.
     ZoneName
 }
+name_type! {
+    /// Name of one incarnation of an endpoint.
+    EndpointId
+}
 
 fn check_name(text: &str) -> Result<(), NameError> {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
--- a/crates/cicadalock-core/src/lib.rs
+++ b/crates/cicadalock-core/src/lib.rs
@@ -16,6 +16,10 @@
 //! | [`fair`] | fair choice between customers over many sidecars |
 //! | [`outcome`] | outcomes, idempotency keys and the ledger of runs |
 //! | [`member`] | the host list, home selection and the view lease |
+//! | [`serving`] | routes, tokens and endpoints in force |
+//! | [`place`] | choice of an endpoint for one request |
+//! | [`desk`] | admission at one endpoint |
+//! | [`gateway`] | the state machine of a router that calls endpoints itself |
 //! | [`retry`] | retry budget and endpoint back-off |
 //! | [`message`] | messages between processes |
 //! | [`router`] | the state machine of a router process |
@@ -41,13 +45,17 @@
 
 pub mod collect;
 pub mod config;
+pub mod desk;
 pub mod fair;
+pub mod gateway;
 pub mod id;
 pub mod member;
 pub mod message;
 pub mod outcome;
+pub mod place;
 pub mod retry;
 pub mod revision;
 pub mod router;
+pub mod serving;
 pub mod sidecar;
 pub mod time;
--- /dev/null
+++ b/crates/cicadalock-core/src/place/mod.rs
@@ -0,0 +1,32 @@
+//! Choice of an endpoint for one request: what endpoints keep of prompts, how fast they read, and
+//! which of them fail.
+//!
+//! Load that this answers: prompts that share long beginnings, a few prompts that are many times
+//! longer than the rest, and endpoints that turn slow, silent or faulty.
+//!
+//! # Example
+//!
+//! ```
+//! use cicadalock_core::place::PrefixMemory;
+//! use cicadalock_core::serving::PromptShape;
+//! use cicadalock_core::time::ClockTime;
+//!
+//! let now = ClockTime::from_millis(1);
+//! let parts = PromptShape::parse_parts("a1:500,b2:100,c3:40").unwrap();
+//! let prompt = PromptShape { input: 640, parts, ..PromptShape::default() };
+//! let endpoint = "i-1".parse().unwrap();
+//! let mut memory = PrefixMemory::new(10_000);
+//! assert_eq!(memory.kept(&endpoint, &prompt), 0);
+//! memory.note(&endpoint, &prompt, now);
+//! assert_eq!(memory.kept(&endpoint, &prompt), 600);
+//! ```
+
+mod endpoint_health;
+mod prefix_memory;
+mod read_rate;
+mod rendezvous;
+
+pub use endpoint_health::EndpointHealth;
+pub use prefix_memory::PrefixMemory;
+pub use read_rate::ReadRate;
+pub use rendezvous::{home_rank, home_score};
--- /dev/null
+++ b/crates/cicadalock-core/src/place/prefix_memory.rs
@@ -0,0 +1,76 @@
+use crate::collect::SortedMap;
+use crate::id::EndpointId;
+use crate::serving::PromptShape;
+use crate::time::ClockTime;
+
+/// Which shared parts of prompts endpoints are believed to keep.
+///
+/// Learnt from what was sent there; the endpoint's own memory yields the least recently used parts
+/// first, and so does this.
+#[derive(Debug, Clone)]
+pub struct PrefixMemory {
+    endpoints: SortedMap<EndpointId, KeptParts>,
+    capacity: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct KeptParts {
+    /// Parts with their last use and size; a part's key covers all parts before it.
+    parts: SortedMap<u64, (ClockTime, u32)>,
+    tokens: u64,
+}
+
+impl PrefixMemory {
+    /// Creates a memory of `capacity` tokens for each endpoint.
+    #[must_use]
+    pub const fn new(capacity: u64) -> Self {
+        Self {
+            endpoints: SortedMap::new(),
+            capacity,
+        }
+    }
+
+    /// Tokens of the shared parts that `endpoint` need not read again.
+    #[must_use]
+    pub fn kept(&self, endpoint: &EndpointId, prompt: &PromptShape) -> u32 {
+        let Some(kept) = self.endpoints.get(endpoint) else {
+            return 0;
+        };
+        let shared = chained(prompt).take_while(|(key, _)| kept.parts.contains_key(key));
+        shared.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Notes that `endpoint` was sent a prompt.
+    pub fn note(&mut self, endpoint: &EndpointId, prompt: &PromptShape, now: ClockTime) {
+        let kept = self
+            .endpoints
+            .get_or_insert_with(endpoint.clone(), KeptParts::default);
+        for (key, tokens) in chained(prompt) {
+            if kept.parts.insert(key, (now, tokens)).is_none() {
+                kept.tokens += u64::from(tokens);
+            }
+        }
+        while kept.tokens > self.capacity {
+            let oldest = kept.parts.iter().min_by_key(|(_, (used, _))| *used);
+            let Some(oldest) = oldest.map(|(key, _)| *key) else {
+                break;
+            };
+            if let Some((_, tokens)) = kept.parts.remove(&oldest) {
+                kept.tokens -= u64::from(tokens);
+            }
+        }
+    }
+
+    /// Forgets what an endpoint keeps.
+    pub fn forget(&mut self, endpoint: &EndpointId) {
+        self.endpoints.remove(endpoint);
+    }
+}
+
+/// The shared parts, each with a key that also covers the parts before it.
+fn chained(prompt: &PromptShape) -> impl Iterator<Item = (u64, u32)> {
+    prompt.shared().iter().scan(0_u64, |before, part| {
+        *before = before.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ part.id;
+        Some((*before, part.tokens))
+    })
+}
--- a/crates/cicadalock-core/src/retry/mod.rs
+++ b/crates/cicadalock-core/src/retry/mod.rs
@@ -14,6 +14,8 @@
 
 mod backoff;
 mod budget;
+mod repeat_budget;
 
 pub use backoff::EndpointBackoff;
 pub use budget::{BudgetBuilder, RetryBudget};
+pub use repeat_budget::RepeatBudget;
--- a/crates/cicadalock-node/src/cli/flags.rs
+++ b/crates/cicadalock-node/src/cli/flags.rs
@@ -9,6 +9,8 @@
             /// TOML file with the settings of this process.
             required --settings settings: PathBuf
         }
+        /// Run a router that calls endpoints itself, on the platform that the environment names.
+        cmd gateway {}
         /// Run a sidecar: call one endpoint for the routers of the fleet.
         cmd sidecar {
             /// TOML file with the settings of this process.
--- a/crates/cicadalock-node/src/cli/mod.rs
+++ b/crates/cicadalock-node/src/cli/mod.rs
@@ -4,8 +4,12 @@
 //!
 //! ```
 //! use cicadalock_node::cli::{ExitStatus, run_command};
+//! use cicadalock_node::gateway::GatewayDialect;
 //!
-//! assert_eq!(run_command(["check", "--base", "/does/not/exist"]), ExitStatus::Findings);
+//! /// Checks a configuration, whatever platform the binary is built for.
+//! fn check<D: GatewayDialect>(base: &str) -> ExitStatus {
+//!     run_command::<D, _>(["check", "--base", base])
+//! }
 //! ```
 
 mod check;
--- a/crates/cicadalock-node/src/cli/run.rs
+++ b/crates/cicadalock-node/src/cli/run.rs
@@ -5,6 +5,7 @@
 use super::daemon::{run_router, run_sidecar};
 use super::flags::{Cicadalock, CicadalockCmd, Status};
 use crate::admin::{fetch_status, render_status};
+use crate::gateway::{GatewayDialect, GatewayError, run_gateway};
 use crate::settings::{RouterSettings, SettingsError, SidecarSettings};
 
 /// How a command ended.
@@ -20,13 +21,14 @@
 
 /// Runs the command line of this process.
 #[must_use]
-pub fn main() -> ExitCode {
-    ExitCode::from(run_command(std::env::args_os().skip(1)).code())
+pub fn main<D: GatewayDialect>() -> ExitCode {
+    ExitCode::from(run_command::<D, _>(std::env::args_os().skip(1)).code())
 }
 
-/// Runs one command with its arguments.
-pub fn run_command<I>(arguments: I) -> ExitStatus
+/// Runs one command with its arguments; `D` is the platform that gateways run on.
+pub fn run_command<D, I>(arguments: I) -> ExitStatus
 where
+    D: GatewayDialect,
     I: IntoIterator,
     I::Item: Into<OsString>,
 {
@@ -47,6 +49,7 @@
         CicadalockCmd::Sidecar(flags) => {
             daemon(SidecarSettings::load(&flags.settings), run_sidecar)
         }
+        CicadalockCmd::Gateway(_) => gateway::<D>(),
         CicadalockCmd::Check(flags) => check(&flags),
         CicadalockCmd::Bundle(flags) => bundle(&flags),
         CicadalockCmd::Status(flags) => status(&flags),
@@ -85,6 +88,20 @@
     }
 }
 
+fn gateway<D: GatewayDialect>() -> ExitStatus {
+    match run_gateway::<D>() {
+        Ok(()) => ExitStatus::Fine,
+        Err(error @ GatewayError::Settings { .. }) => {
+            eprintln!("{error}");
+            ExitStatus::Findings
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitStatus::Failure
+        }
+    }
+}
+
 fn status(flags: &Status) -> ExitStatus {
     match fetch_status(flags.address) {
         Ok(status) if flags.json => {
--- /dev/null
+++ b/crates/cicadalock-node/src/events/event_log.rs
@@ -0,0 +1,111 @@
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Map, Value, json};
+
+/// Lines that may wait for the writer: some seconds of the greatest rate.
+const RING_CAPACITY: usize = 4_096;
+
+/// Lines that a process writes in a second at most: five for each of 300 requests.
+const LINES_PER_SECOND: u64 = 1_500;
+
+/// Time over which lines are gathered into one write.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
+/// Hands lines to the thread that writes them.
+#[derive(Debug, Clone)]
+pub struct EventLog {
+    ring: flume::Sender<Value>,
+    dropped: Arc<AtomicU64>,
+}
+
+/// The thread that writes lines.
+#[derive(Debug)]
+pub struct EventSink {
+    thread: JoinHandle<()>,
+}
+
+impl EventLog {
+    /// Starts the thread that writes to `out`; it ends when every copy of the log is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread cannot be had.
+    pub fn start(out: impl Write + Send + 'static) -> io::Result<(Self, EventSink)> {
+        let (ring, lines) = flume::bounded(RING_CAPACITY);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let log = Self {
+            ring,
+            dropped: Arc::clone(&dropped),
+        };
+        let thread = std::thread::Builder::new()
+            .name("events".into())
+            .spawn(move || write_lines(out, &lines, &dropped))?;
+        Ok((log, EventSink { thread }))
+    }
+
+    /// Writes one line of the kind `event`; `fields` is an object.
+    pub fn write(&self, event: &str, fields: Value) {
+        let mut line = Map::new();
+        line.insert("at".to_owned(), json!(unix_millis()));
+        line.insert("event".to_owned(), json!(event));
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        if self.ring.try_send(Value::Object(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Lines that were not written so far.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl EventSink {
+    /// Waits until every line is written.
+    pub fn join(self) {
+        // A writer that panicked has nothing left to write.
+        let _ = self.thread.join();
+    }
+}
+
+fn write_lines(mut out: impl Write, lines: &flume::Receiver<Value>, dropped: &AtomicU64) {
+    let (mut second, mut written, mut told) = (0, 0, 0);
+    while let Ok(first) = lines.recv() {
+        std::thread::sleep(GATHER_TIME);
+        let mut text = String::new();
+        for line in std::iter::once(first).chain(lines.try_iter()) {
+            let now = unix_millis() / 1_000;
+            if now != second {
+                (second, written) = (now, 0);
+            }
+            if written >= LINES_PER_SECOND {
+                dropped.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            written += 1;
+            text.push_str(&line.to_string());
+            text.push('\n');
+        }
+        let lost = dropped.load(Ordering::Relaxed);
+        if lost > told {
+            let line = json!({"at": unix_millis(), "event": "lines-dropped", "total": lost});
+            text.push_str(&line.to_string());
+            text.push('\n');
+            told = lost;
+        }
+        // Standard output that is closed leaves nobody to tell.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/fetch/mod.rs
@@ -0,0 +1,5 @@
+//! Reads of other systems' documents over HTTP.
+
+mod document_fetch;
+
+pub use document_fetch::{FetchError, FetchedBody, fetch};
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -0,0 +1,225 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cicadalock_core::gateway::AttemptEnd;
+use cicadalock_core::id::{CustomerName, EndpointId};
+use cicadalock_core::time::ClockTime;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+
+use super::connection_pool::{EndpointConnection, connect};
+use super::dialect::{AnswerFacts, EndpointOrder, GatewayDialect};
+use super::shared::{GatewayShared, StartOrder};
+
+/// Header fields that concern one connection only.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A caller's request, kept whole so that it can be sent more than once.
+#[derive(Debug, Clone)]
+pub(super) struct CallerRequest {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// Number of the caller's attempt.
+    pub(super) number: String,
+    pub(super) customer: Option<CustomerName>,
+    /// When its answer is of no more use.
+    pub(super) deadline: ClockTime,
+    /// Whether it may run a second time.
+    pub(super) may_repeat: bool,
+}
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(super) struct EndpointAnswer {
+    pub(super) endpoint: EndpointId,
+    pub(super) response: Response<Incoming>,
+    pub(super) connection: EndpointConnection,
+}
+
+/// Why an attempt gave no answer to pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct AttemptFailure {
+    pub(super) end: AttemptEnd,
+    pub(super) detail: String,
+}
+
+impl AttemptFailure {
+    pub(super) fn new(end: AttemptEnd, detail: impl Into<String>) -> Self {
+        Self {
+            end,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of the answer, `patience` at most.
+pub(super) async fn attempt<D: GatewayDialect>(
+    shared: &Rc<GatewayShared>,
+    request: &CallerRequest,
+    order: &StartOrder,
+    resume_after: Option<&str>,
+    patience: Duration,
+) -> Result<EndpointAnswer, AttemptFailure> {
+    let exchange = exchange::<D>(shared, request, order, resume_after);
+    match tokio::time::timeout(patience, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(AttemptFailure::new(AttemptEnd::Broken, "no head in time")),
+    }
+}
+
+async fn exchange<D: GatewayDialect>(
+    shared: &Rc<GatewayShared>,
+    request: &CallerRequest,
+    order: &StartOrder,
+    resume_after: Option<&str>,
+) -> Result<EndpointAnswer, AttemptFailure> {
+    let now = shared.now();
+    let mut connection = match shared.pool.take(&order.endpoint, request.may_repeat, now) {
+        Some(connection) => connection,
+        None => open(shared, order).await?,
+    };
+    let mut message = build::<D>(shared, request, order, resume_after);
+    let response = loop {
+        match connection.sender.try_send_request(message).await {
+            Ok(response) => break response,
+            Err(mut error) => match error.take_message() {
+                // Nothing of it was sent: a kept connection had ended meanwhile.
+                Some(unsent) if connection.is_reused => {
+                    connection = open(shared, order).await?;
+                    message = unsent;
+                }
+                Some(_) => {
+                    let detail = error.error().to_string();
+                    return Err(AttemptFailure::new(AttemptEnd::NotReached, detail));
+                }
+                None => {
+                    let detail = error.error().to_string();
+                    return Err(AttemptFailure::new(AttemptEnd::Broken, detail));
+                }
+            },
+        }
+    };
+    let facts = D::answer_facts(response.status().as_u16(), response.headers());
+    check(request, &response, &facts)?;
+    if let Some((running, waiting)) = facts.load {
+        let mut machine = shared.machine.borrow_mut();
+        machine.load_told(&order.endpoint, running, waiting);
+    }
+    if facts.is_misdirected {
+        let detail = "another incarnation has the address";
+        return Err(AttemptFailure::new(AttemptEnd::Misdirected, detail));
+    }
+    if facts.is_not_run {
+        let detail = format!("refused with status {}", response.status().as_u16());
+        // The refusal has a body that nobody needs; the connection stays usable if it is short.
+        finish_body(shared, &order.endpoint, response, connection);
+        return Err(AttemptFailure::new(AttemptEnd::Full, detail));
+    }
+    Ok(EndpointAnswer {
+        endpoint: order.endpoint.clone(),
+        response,
+        connection,
+    })
+}
+
+async fn open(
+    shared: &Rc<GatewayShared>,
+    order: &StartOrder,
+) -> Result<EndpointConnection, AttemptFailure> {
+    shared.metrics.connects.inc();
+    let opened = connect(order.address).await;
+    opened.map_err(|detail| AttemptFailure::new(AttemptEnd::NotReached, detail))
+}
+
+/// An answer that belongs to another request, or to none, must not reach the caller.
+fn check(
+    request: &CallerRequest,
+    response: &Response<Incoming>,
+    facts: &AnswerFacts,
+) -> Result<(), AttemptFailure> {
+    let broken = |detail: String| Err(AttemptFailure::new(AttemptEnd::Broken, detail));
+    match &facts.request {
+        Some(number) if *number == request.number => {}
+        Some(number) => return broken(format!("the answer is for request `{number}`")),
+        None if facts.is_not_run || facts.is_misdirected => {}
+        None => return broken("the answer names no request".to_owned()),
+    }
+    if response.status().is_success() && !facts.is_signed {
+        return broken("a success without the endpoint's signature".to_owned());
+    }
+    Ok(())
+}
+
+fn build<D: GatewayDialect>(
+    shared: &Rc<GatewayShared>,
+    request: &CallerRequest,
+    order: &StartOrder,
+    resume_after: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let headers = message.headers_mut();
+    *headers = request.headers.clone();
+    drop_connection_headers(headers);
+    let words = EndpointOrder {
+        endpoint: &order.endpoint,
+        left: request.deadline.since(shared.now()),
+        customer: request.customer.as_ref(),
+        resume_after,
+    };
+    D::endpoint_headers(headers, &words);
+    message
+}
+
+/// Removes what concerns one connection, and what the fields themselves name as such.
+pub(super) fn drop_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    for name in named {
+        headers.remove(name);
+    }
+}
+
+/// Reads the rest of an answer that nobody needs, so that its connection can be used again.
+fn finish_body(
+    shared: &Rc<GatewayShared>,
+    endpoint: &EndpointId,
+    response: Response<Incoming>,
+    connection: EndpointConnection,
+) {
+    use http_body_util::{BodyExt, Limited};
+    const SHORT_BODY: usize = 4 * 1024;
+    const SHORT_TIME: Duration = Duration::from_millis(200);
+    let (shared, endpoint) = (Rc::clone(shared), endpoint.clone());
+    tokio::task::spawn_local(async move {
+        let (parts, body) = response.into_parts();
+        let collected = Limited::new(body, SHORT_BODY).collect();
+        if matches!(tokio::time::timeout(SHORT_TIME, collected).await, Ok(Ok(_))) {
+            let now = shared.now();
+            shared.pool.keep(&endpoint, connection, &parts.headers, now);
+        }
+    });
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -0,0 +1,419 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinSet, LocalSet};
+use tokio_util::sync::CancellationToken;
+
+use super::dialect::GatewayDialect;
+use super::gateway_metrics::EndLabels;
+use super::gateway_settings::GatewaySettings;
+use super::metrics_port::MetricsPort;
+use super::ready_port::serve_ready;
+use super::serve::serve;
+use super::shared::GatewayShared;
+use super::store_follower::{FollowerNews, StoreFollower};
+use crate::clock::ProcessClock;
+use crate::events::EventLog;
+
+/// News of the store that may wait for the runtime.
+const NEWS_CAPACITY: usize = 64;
+
+/// Pause after a read of the store that failed; the bounds leave time for some.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Descriptors that are not for connections: files, listeners, the runtime's own.
+const RESERVED_DESCRIPTORS: usize = 256;
+
+/// Part of the other descriptors that callers' connections may use; the rest is for endpoints.
+const CALLER_PART: f64 = 0.6;
+
+/// Time after the signal to stop in which the balancer notices and callers hear of it.
+///
+/// The balancer asks once a second and gives up after two misses.
+const NOTICE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Time kept of the grace for the end of the process itself.
+const EXIT_RESERVE: Duration = Duration::from_millis(700);
+
+/// Time without a sign of life after which a caller's connection counts as lost.
+const CALLER_SILENCE: Duration = Duration::from_secs(10);
+
+/// Pause between two looks at the settings, which may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes of a request's head that the parser holds at least.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+
+/// Header fields of one request.
+const HEADER_LIMIT: usize = 100;
+
+/// Why a gateway could not run.
+#[derive(Debug, Snafu)]
+pub enum GatewayError {
+    /// There are no usable settings.
+    #[snafu(display("cannot use the settings: {problem}"))]
+    Settings {
+        /// What is wrong.
+        problem: String,
+    },
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A thread or a socket cannot be had.
+    #[snafu(context(false), display("{source}"))]
+    System {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// What other threads tell the runtime.
+enum ProcessNews {
+    Store(FollowerNews),
+    Reload,
+    Stop,
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings cannot be used, or an address or a thread cannot be had.
+pub fn run_gateway<D: GatewayDialect>() -> Result<(), GatewayError> {
+    let settings = load::<D>()?;
+    let (log, sink) = EventLog::start(io::stdout())?;
+    log.write(
+        "start-process",
+        json!({"host": settings.host.as_str(), "zone": settings.zone.as_str(), "version": env!("CARGO_PKG_VERSION")}),
+    );
+    let result = run::<D>(settings, log.clone());
+    let problem = result.as_ref().err().map(ToString::to_string);
+    log.write("stop-process", json!({"problem": problem}));
+    drop(log);
+    sink.join();
+    result
+}
+
+fn load<D: GatewayDialect>() -> Result<GatewaySettings, GatewayError> {
+    D::load_settings().map_err(|error| GatewayError::Settings {
+        problem: error.to_string(),
+    })
+}
+
+fn run<D: GatewayDialect>(settings: GatewaySettings, log: EventLog) -> Result<(), GatewayError> {
+    let callers = bind(settings.callers)?;
+    let ready = bind(settings.ready)?;
+    let counters = bind(settings.metrics)?;
+    let clock = ProcessClock::start();
+    let (news, inbox) = flume::bounded(NEWS_CAPACITY);
+    let ended = Arc::new(AtomicBool::new(false));
+    let follower = follow::<D>(&settings, clock, news.clone(), Arc::clone(&ended))?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let signal_handle = signals.handle();
+    let signal_thread = std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for signal in signals.forever() {
+                let message = if signal == SIGHUP {
+                    ProcessNews::Reload
+                } else {
+                    ProcessNews::Stop
+                };
+                if news.send(message).is_err() {
+                    return;
+                }
+            }
+        })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let shared = GatewayShared::new(settings, log, clock);
+    let metrics = MetricsPort::start(counters, Arc::clone(&shared.metrics))?;
+    let local = LocalSet::new();
+    let result = runtime.block_on(local.run_until(async {
+        callers.set_nonblocking(true)?;
+        ready.set_nonblocking(true)?;
+        let callers = TcpListener::from_std(callers)?;
+        let ready = TcpListener::from_std(ready)?;
+        supervise::<D>(&shared, callers, ready, inbox).await;
+        Ok::<(), io::Error>(())
+    }));
+    drop(local);
+    ended.store(true, Ordering::Relaxed);
+    signal_handle.close();
+    // Threads that panicked have ended, too.
+    let _ = signal_thread.join();
+    let _ = follower.join();
+    metrics.join();
+    Ok(result?)
+}
+
+/// Serves until the signal to stop, then lets requests end within the grace.
+async fn supervise<D: GatewayDialect>(
+    shared: &Rc<GatewayShared>,
+    callers: TcpListener,
+    ready: TcpListener,
+    inbox: flume::Receiver<ProcessNews>,
+) {
+    let (drain, end) = (CancellationToken::new(), CancellationToken::new());
+    let keeper = Rc::clone(shared);
+    let time = tokio::task::spawn_local(async move { keeper.keep_time().await });
+    let balancer = tokio::task::spawn_local(serve_ready(Rc::clone(shared), ready));
+    let accept = accept_all::<D>(Rc::clone(shared), callers, drain.clone(), end.clone());
+    let accept = tokio::task::spawn_local(accept);
+    let mut look = tokio::time::interval(SETTINGS_INTERVAL);
+    loop {
+        tokio::select! {
+            message = inbox.recv_async() => match message {
+                Ok(ProcessNews::Store(news)) => take_news(shared, news),
+                Ok(ProcessNews::Reload) => reload::<D>(shared),
+                Ok(ProcessNews::Stop) | Err(_) => break,
+            },
+            _ = look.tick() => {
+                reload::<D>(shared);
+                shared.metrics.dropped_lines.set(shared.log.dropped() as i64);
+            }
+        }
+    }
+    let stopped = tokio::time::Instant::now();
+    let grace = shared
+        .settings
+        .borrow()
+        .times
+        .grace
+        .saturating_sub(EXIT_RESERVE);
+    shared.is_stopping.set(true);
+    shared
+        .log
+        .write("stopping", json!({"grace_ms": grace.as_millis() as u64}));
+    let news_shared = Rc::clone(shared);
+    let news = tokio::task::spawn_local(async move {
+        while let Ok(message) = inbox.recv_async().await {
+            if let ProcessNews::Store(news) = message {
+                take_news(&news_shared, news);
+            }
+        }
+    });
+    tokio::time::sleep_until(stopped + NOTICE_TIME.min(grace)).await;
+    drain.cancel();
+    let mut accept = accept;
+    let is_idle = tokio::time::timeout_at(stopped + grace, &mut accept)
+        .await
+        .is_ok();
+    if !is_idle {
+        shared.log.write("grace-over", json!({}));
+        end.cancel();
+        // The remaining connections are cut.
+        let _ = accept.await;
+    }
+    for task in [time, balancer, news] {
+        task.abort();
+    }
+}
+
+fn take_news(shared: &Rc<GatewayShared>, news: FollowerNews) {
+    let result = news.failure.as_ref().map_or("good", |_| "failed");
+    shared
+        .metrics
+        .reads
+        .get_or_create(&EndLabels::new(result))
+        .inc();
+    if let Some((error, is_first)) = &news.failure
+        && *is_first
+    {
+        let age = shared.knowledge_age().map(|age| age.as_millis() as u64);
+        shared.log.write(
+            "store-lost",
+            json!({"problem": error.to_string(), "age_ms": age}),
+        );
+    }
+    if let Some(outage) = news.regained {
+        let outage = outage.as_millis() as u64;
+        shared.log.write(
+            "store-regained",
+            json!({"after_ms": outage, "revision": news.revision.get()}),
+        );
+    }
+    for problem in &news.problems {
+        shared.log.write(
+            "store-problem",
+            json!({"problem": problem, "revision": news.revision.get()}),
+        );
+    }
+    if let Some(config) = &news.config {
+        shared.log.write(
+            "config",
+            json!({"version": config.version(), "routes": config.routes().len(), "revision": news.revision.get()}),
+        );
+    }
+    if let Some(list) = &news.endpoints {
+        let draining = list.iter().filter(|(_, entry)| entry.is_draining);
+        let draining: Vec<&str> = draining.map(|(id, _)| id.as_str()).collect();
+        shared.log.write(
+            "endpoints",
+            json!({"count": list.len(), "draining": draining, "revision": news.revision.get()}),
+        );
+    }
+    shared.take_news(news);
+}
+
+/// Reads the settings again; what cannot be used changes nothing.
+fn reload<D: GatewayDialect>(shared: &GatewayShared) {
+    match D::load_settings() {
+        Ok(settings) => {
+            let mut current = shared.settings.borrow_mut();
+            if *current != settings {
+                shared.log.write("reload", json!({"result": "changed"}));
+                *current = settings;
+            }
+        }
+        Err(error) => {
+            shared.log.write(
+                "reload",
+                json!({"result": "kept", "problem": error.to_string()}),
+            );
+        }
+    }
+}
+
+/// Starts the thread that reads the store.
+fn follow<D: GatewayDialect>(
+    settings: &GatewaySettings,
+    clock: ProcessClock,
+    news: flume::Sender<ProcessNews>,
+    ended: Arc<AtomicBool>,
+) -> io::Result<std::thread::JoinHandle<()>> {
+    let pause = settings.times.store_pause();
+    let mut follower = StoreFollower::new(D::open_store(settings), pause);
+    std::thread::Builder::new()
+        .name("store".into())
+        .spawn(move || {
+            while !ended.load(Ordering::Relaxed) {
+                let began = clock.now();
+                let step = follower.step(|| clock.now());
+                let pause = match (&step.failure, step.proven) {
+                    (Some(_), _) => FAILURE_PAUSE,
+                    (None, None) => Duration::ZERO,
+                    (None, Some(_)) => pause.saturating_sub(clock.now().since(began)),
+                };
+                if news.send(ProcessNews::Store(step)).is_err() {
+                    return;
+                }
+                std::thread::sleep(pause);
+            }
+        })
+}
+
+async fn accept_all<D: GatewayDialect>(
+    shared: Rc<GatewayShared>,
+    listener: TcpListener,
+    drain: CancellationToken,
+    end: CancellationToken,
+) {
+    let descriptors = shared.settings.borrow().descriptors;
+    let spare = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+    let limit = (spare as f64 * CALLER_PART) as usize;
+    let mut tasks = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+            () = drain.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) if tasks.len() < limit => {
+                tasks.spawn_local(converse::<D>(
+                    Rc::clone(&shared),
+                    stream,
+                    drain.clone(),
+                    end.clone(),
+                ));
+            }
+            Ok(_) => shared
+                .log
+                .write("connection-refused", json!({"open": tasks.len()})),
+            Err(error) => {
+                shared
+                    .log
+                    .write("accept-failed", json!({"problem": error.to_string()}));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Serves one connection of a caller.
+async fn converse<D: GatewayDialect>(
+    shared: Rc<GatewayShared>,
+    stream: TcpStream,
+    drain: CancellationToken,
+    end: CancellationToken,
+) {
+    prepare(&stream);
+    let limits = shared
+        .config
+        .borrow()
+        .as_ref()
+        .map(|config| *config.limits());
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(|request| serve::<D>(Rc::clone(&shared), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library's time for a head also runs while a connection is idle.
+        .header_read_timeout(limits.idle_timeout)
+        .max_headers(HEADER_LIMIT)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let is_ended = tokio::select! {
+        _ = connection.as_mut() => true,
+        () = drain.cancelled() => false,
+    };
+    if !is_ended {
+        connection.as_mut().graceful_shutdown();
+        tokio::select! {
+            // A caller whose connection fails has left.
+            _ = connection => {}
+            () = end.cancelled() => {}
+        }
+    }
+}
+
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(CALLER_SILENCE / 2)
+        .with_interval(CALLER_SILENCE / 4)
+        .with_retries(2);
+    // A connection without these options works; a lost caller is only noticed later.
+    let _ = stream.set_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(CALLER_SILENCE));
+}
+
+fn bind(address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
+    std::net::TcpListener::bind(address).context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/dialect.rs
@@ -0,0 +1,165 @@
+use std::fmt;
+use std::time::Duration;
+
+use cicadalock_core::id::{CustomerName, EndpointId, Revision};
+use cicadalock_core::serving::{ListedEndpoint, PromptShape, RouteFinding, ServingConfig};
+use hyper::HeaderMap;
+use snafu::Snafu;
+
+use super::GatewaySettings;
+
+/// The names and formats of a platform: it translates and decides nothing.
+pub trait GatewayDialect: Send + Sync + 'static {
+    /// Its store.
+    type Store: PlatformStore;
+    /// Why settings cannot be used.
+    type SettingsError: fmt::Display;
+
+    /// Reads this process's settings from where the platform puts them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are none, or they cannot be used.
+    fn load_settings() -> Result<GatewaySettings, Self::SettingsError>;
+
+    /// Opens the store that the settings name.
+    fn open_store(settings: &GatewaySettings) -> Self::Store;
+
+    /// Reads what a caller tells in the head of its request.
+    fn call_facts(headers: &HeaderMap) -> CallFacts;
+
+    /// Replaces a caller's header fields by those that the endpoint is to see.
+    fn endpoint_headers(headers: &mut HeaderMap, order: &EndpointOrder<'_>);
+
+    /// Reads what an endpoint tells in the head of its answer.
+    fn answer_facts(status: u16, headers: &HeaderMap) -> AnswerFacts;
+}
+
+/// What a caller tells of its request.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CallFacts {
+    /// Number of this attempt of the caller.
+    pub request: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The customer's token.
+    pub token: Option<String>,
+    /// The prompt.
+    pub prompt: Option<PromptShape>,
+    /// Event after which the caller goes on.
+    pub resume_after: Option<String>,
+}
+
+/// What an endpoint is told beside the caller's own words.
+#[derive(Debug, Clone, Copy)]
+pub struct EndpointOrder<'a> {
+    /// Incarnation that is to run the request.
+    pub endpoint: &'a EndpointId,
+    /// Time left for it.
+    pub left: Duration,
+    /// Customer that is charged; none on public routes.
+    pub customer: Option<&'a CustomerName>,
+    /// Event after which a stream goes on.
+    pub resume_after: Option<&'a str>,
+}
+
+/// What an endpoint tells of its answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// Number of the caller's attempt that it answers.
+    pub request: Option<String>,
+    /// The endpoint did not and will not run the request.
+    pub is_not_run: bool,
+    /// Another incarnation answered.
+    pub is_misdirected: bool,
+    /// The endpoint's signature is there.
+    pub is_signed: bool,
+    /// Requests that run and that wait at the endpoint.
+    pub load: Option<(u32, u32)>,
+}
+
+/// Reads of the platform's store.
+pub trait PlatformStore: Send + 'static {
+    /// Reads a page of all documents, those after a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no whole answer.
+    fn page(&self, after: Option<&str>) -> Result<StorePage, StoreError>;
+
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no whole answer or no longer has the history.
+    fn changes(&self, after: Revision, wait: Duration) -> Result<StoreChanges, StoreError>;
+}
+
+/// What one document says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreDocument {
+    /// A configuration, or every fault found in it.
+    Config(Box<Result<ServingConfig, Vec<RouteFinding>>>),
+    /// An endpoint, or why the entry names none.
+    Endpoint(EndpointId, Result<ListedEndpoint, String>),
+    /// Something else.
+    Other,
+}
+
+/// A page of documents.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StorePage {
+    /// The documents.
+    pub documents: Vec<StoreDocument>,
+    /// Key after which the next page begins; none on the last page.
+    pub next: Option<String>,
+    /// Revision of the store when it answered.
+    pub revision: Revision,
+}
+
+/// A document that was written or removed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreChange {
+    /// It was written.
+    Written(StoreDocument),
+    /// The entry of an endpoint was removed.
+    EndpointRemoved(EndpointId),
+    /// Something else was removed.
+    OtherRemoved,
+}
+
+/// Changes in order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoreChanges {
+    /// The changes.
+    pub changes: Vec<StoreChange>,
+    /// Revision up to which they reach.
+    pub revision: Revision,
+}
+
+/// Why a read of the store failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StoreError {
+    /// There is no whole answer.
+    #[snafu(display("{source}"))]
+    Unreachable {
+        /// Cause.
+        source: crate::fetch::FetchError,
+    },
+    /// The store refused; nothing was read.
+    #[snafu(display("the store answers with status {status}"))]
+    Refused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The changes asked for are no longer kept.
+    #[snafu(display("the store no longer keeps this history"))]
+    HistoryGone,
+    /// The answer cannot be read.
+    #[snafu(display("cannot read the store's answer: {problem}"))]
+    Unreadable {
+        /// What is wrong.
+        problem: String,
+    },
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -0,0 +1,122 @@
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Counters and latency histograms of a gateway.
+#[derive(Debug)]
+pub(super) struct GatewayMetrics {
+    registry: Registry,
+    /// Answers to callers, by route kind and outcome.
+    pub(super) answers: Family<AnswerLabels, Counter>,
+    /// Attempts at endpoints, by how they ended.
+    pub(super) attempts: Family<EndLabels, Counter>,
+    /// Requests sent once more.
+    pub(super) repeats: Counter,
+    /// Connections opened to endpoints.
+    pub(super) connects: Counter,
+    /// Reads of the store, by result.
+    pub(super) reads: Family<EndLabels, Counter>,
+    /// Requests in the gateway.
+    pub(super) held: Gauge,
+    /// Log lines not written.
+    pub(super) dropped_lines: Gauge,
+    /// Seconds that requests waited here before they started.
+    pub(super) wait: Histogram,
+    /// Seconds from arrival to the head of the answer, or to the first event.
+    pub(super) first: Histogram,
+    /// Seconds from arrival to the end of the answer.
+    pub(super) whole: Histogram,
+}
+
+/// Labels of answers to callers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct AnswerLabels {
+    pub(super) status: u16,
+    pub(super) reason: String,
+}
+
+/// Label of something that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct EndLabels {
+    pub(super) end: String,
+}
+
+impl GatewayMetrics {
+    pub(super) fn new() -> Self {
+        // 1 ms to 16 s, doubling.
+        let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("cicadalock"),
+            answers: Family::default(),
+            attempts: Family::default(),
+            repeats: Counter::default(),
+            connects: Counter::default(),
+            reads: Family::default(),
+            held: Gauge::default(),
+            dropped_lines: Gauge::default(),
+            wait: latency(),
+            first: latency(),
+            whole: latency(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register(
+            "attempts",
+            "Attempts at endpoints",
+            metrics.attempts.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Requests sent once more",
+            metrics.repeats.clone(),
+        );
+        registry.register(
+            "connects",
+            "Connections opened to endpoints",
+            metrics.connects.clone(),
+        );
+        registry.register("store_reads", "Reads of the store", metrics.reads.clone());
+        registry.register("held", "Requests in the gateway", metrics.held.clone());
+        registry.register(
+            "dropped_lines",
+            "Log lines not written",
+            metrics.dropped_lines.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Wait before the start",
+            metrics.wait.clone(),
+        );
+        registry.register(
+            "first_seconds",
+            "Time to head or first event",
+            metrics.first.clone(),
+        );
+        registry.register(
+            "whole_seconds",
+            "Time to the end of the answer",
+            metrics.whole.clone(),
+        );
+        metrics
+    }
+
+    /// The counters as text.
+    pub(super) fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+impl EndLabels {
+    pub(super) fn new(end: &str) -> Self {
+        Self {
+            end: end.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/request_guard.rs
@@ -0,0 +1,125 @@
+use std::rc::Rc;
+
+use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RepeatDenial};
+use cicadalock_core::id::RequestId;
+use tokio::sync::oneshot;
+
+use super::gateway_metrics::EndLabels;
+use super::shared::{GatewayShared, StartVerdict};
+
+/// A request in the machine; dropped, it leaves the machine wherever it stands.
+#[derive(Debug)]
+pub(super) struct RequestGuard {
+    shared: Rc<GatewayShared>,
+    id: RequestId,
+    phase: GuardPhase,
+}
+
+#[derive(Debug)]
+enum GuardPhase {
+    Waiting(oneshot::Receiver<StartVerdict>),
+    Running,
+    Over,
+}
+
+impl RequestGuard {
+    /// Puts a request into the machine.
+    pub(super) fn submit(shared: &Rc<GatewayShared>, call: GatewayCall) -> Self {
+        let id = shared.next_id();
+        let verdict = shared.expect(id);
+        let now = shared.now();
+        shared.machine.borrow_mut().submit(id, call, now);
+        shared.metrics.held.inc();
+        shared.drive();
+        Self {
+            shared: Rc::clone(shared),
+            id,
+            phase: GuardPhase::Waiting(verdict),
+        }
+    }
+
+    /// Moves the request to a new guard; this one is over.
+    pub(super) fn take(&mut self) -> Self {
+        self.shared.metrics.held.inc();
+        Self {
+            shared: Rc::clone(&self.shared),
+            id: self.id,
+            phase: std::mem::replace(&mut self.phase, GuardPhase::Over),
+        }
+    }
+
+    /// Waits for the machine's verdict.
+    pub(super) async fn verdict(&mut self) -> Option<StartVerdict> {
+        let GuardPhase::Waiting(receiver) = &mut self.phase else {
+            return None;
+        };
+        let verdict = receiver.await.ok();
+        self.phase = match verdict {
+            Some(StartVerdict::Start(_)) => GuardPhase::Running,
+            Some(StartVerdict::Refuse { .. }) | None => GuardPhase::Over,
+        };
+        verdict
+    }
+
+    /// Notes the first event or the whole answer.
+    pub(super) fn first_event(&self) {
+        let now = self.shared.now();
+        self.shared.machine.borrow_mut().first_event(self.id, now);
+        self.shared.drive();
+    }
+
+    /// Notes the end of the attempt.
+    pub(super) fn end(&mut self, end: AttemptEnd) -> Option<GatewayCall> {
+        let phase = std::mem::replace(&mut self.phase, GuardPhase::Over);
+        if !matches!(phase, GuardPhase::Running) {
+            return None;
+        }
+        let labels = EndLabels::new(end.name());
+        self.shared.metrics.attempts.get_or_create(&labels).inc();
+        let now = self.shared.now();
+        let call = self.shared.machine.borrow_mut().end(self.id, end, now);
+        self.shared.drive();
+        call
+    }
+
+    /// Sends the request once more.
+    pub(super) fn repeat(
+        &mut self,
+        call: GatewayCall,
+        end: AttemptEnd,
+    ) -> Result<(), RepeatDenial> {
+        let verdict = self.shared.expect(self.id);
+        let now = self.shared.now();
+        let repeated = self
+            .shared
+            .machine
+            .borrow_mut()
+            .repeat(self.id, call, end, now);
+        if repeated.is_ok() {
+            self.shared.metrics.repeats.inc();
+            self.phase = GuardPhase::Waiting(verdict);
+            self.shared.drive();
+        } else {
+            self.shared.forget(self.id);
+        }
+        repeated
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.shared.metrics.held.dec();
+        match self.phase {
+            GuardPhase::Waiting(_) => {
+                self.shared.forget(self.id);
+                let now = self.shared.now();
+                self.shared.machine.borrow_mut().withdraw(self.id, now);
+                self.shared.drive();
+            }
+            GuardPhase::Running => {
+                self.end(AttemptEnd::Abandoned);
+            }
+            GuardPhase::Over => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -0,0 +1,451 @@
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cicadalock_core::gateway::{AttemptEnd, GatewayCall};
+use cicadalock_core::id::{CustomerId, CustomerName};
+use cicadalock_core::serving::{RouteConfig, RouteKind, ServingConfig};
+use cicadalock_core::time::ClockTime;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Response, Uri};
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::attempt::{
+    AttemptFailure, CallerRequest, EndpointAnswer, attempt, drop_connection_headers,
+};
+use super::dialect::{CallFacts, GatewayDialect};
+use super::gateway_metrics::AnswerLabels;
+use super::refusal::CallerRefusal;
+use super::request_guard::RequestGuard;
+use super::shared::{GatewayShared, StartOrder, StartVerdict};
+use super::stream_relay::{GatewayBody, StreamRelay};
+
+/// Greatest answer that is not a stream, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Advice to callers that come before this process knows the configuration or while it stops.
+const SOON: Duration = Duration::from_millis(500);
+
+/// Longest time that a caller who names none is taken to wait.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time for an answer or first event, in objectives, after which a request that may be repeated is
+/// tried elsewhere.
+const PATIENCE_OBJECTIVES: f64 = 2.5;
+
+/// An answer that was read whole.
+struct WholeAnswer {
+    status: hyper::StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// How a request went on with one endpoint.
+enum Progress {
+    /// The caller has its answer.
+    Answered(Response<GatewayBody>),
+    /// The endpoint failed it with an answer that may be passed on.
+    Failed(AttemptFailure, Option<WholeAnswer>),
+}
+
+/// One request on its way through the gateway.
+struct RequestJourney {
+    shared: Rc<GatewayShared>,
+    request: CallerRequest,
+    route: Arc<RouteConfig>,
+    config_version: u64,
+    facts: CallFacts,
+    arrived: ClockTime,
+    /// An attempt may have run.
+    may_have_run: bool,
+}
+
+/// Answers one request of a caller.
+pub(super) async fn serve<D: GatewayDialect>(
+    shared: Rc<GatewayShared>,
+    request: Request<Incoming>,
+) -> Result<Response<GatewayBody>, Infallible> {
+    let arrived = shared.now();
+    let (parts, body) = request.into_parts();
+    let facts = D::call_facts(&parts.headers);
+    let number = facts.request.clone().unwrap_or_default();
+    let mut response = match admit(&shared, &parts, &facts) {
+        Ok((config, route, customer)) => {
+            let journey = read(
+                &shared, parts, body, facts, &config, route, customer, arrived,
+            )
+            .await;
+            match journey {
+                Ok(journey) => journey.run::<D>().await,
+                Err(refusal) => refuse(&shared, &number, refusal, arrived),
+            }
+        }
+        Err(refusal) => refuse(&shared, &number, refusal, arrived),
+    };
+    if shared.is_stopping.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+type Admission = (Arc<ServingConfig>, Arc<RouteConfig>, Option<CustomerName>);
+
+/// Finds route and customer of a request.
+fn admit(
+    shared: &GatewayShared,
+    parts: &Parts,
+    facts: &CallFacts,
+) -> Result<Admission, CallerRefusal> {
+    let Some(config) = shared.config.borrow().clone() else {
+        return Err(CallerRefusal::not_run("no-configuration", SOON));
+    };
+    let host = parts.uri.authority().map(|authority| authority.as_str());
+    let host = host.or_else(|| {
+        parts
+            .headers
+            .get(HOST)
+            .and_then(|value| value.to_str().ok())
+    });
+    let Some(host) = host else {
+        return Err(CallerRefusal::improper(400, "no-host"));
+    };
+    let Some(route) = config.routes().find(host, parts.uri.path()).cloned() else {
+        return Err(CallerRefusal::improper(404, "no-route"));
+    };
+    let customer = if config.has_customers() && !route.is_public {
+        if !shared.is_current() {
+            return Err(CallerRefusal::not_run("tokens-too-old", SOON));
+        }
+        let customer = facts
+            .token
+            .as_deref()
+            .and_then(|token| config.customer(token));
+        let Some(customer) = customer else {
+            return Err(CallerRefusal::improper(401, "unknown-token"));
+        };
+        Some(customer.clone())
+    } else {
+        None
+    };
+    Ok((config, route, customer))
+}
+
+/// Reads a request's body.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "the parts of one request, each used once"
+)]
+async fn read(
+    shared: &Rc<GatewayShared>,
+    parts: Parts,
+    body: Incoming,
+    facts: CallFacts,
+    config: &ServingConfig,
+    route: Arc<RouteConfig>,
+    customer: Option<CustomerName>,
+    arrived: ClockTime,
+) -> Result<RequestJourney, CallerRefusal> {
+    let patience = facts
+        .patience
+        .unwrap_or(DEFAULT_PATIENCE)
+        .min(route.timeout);
+    let deadline = arrived + patience;
+    let limited = Limited::new(body, config.limits().body_bytes);
+    let left = deadline.since(shared.now());
+    let body = match tokio::time::timeout(left, limited.collect()).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(CallerRefusal::improper(413, "body-too-large"));
+        }
+        Ok(Err(_)) => return Err(CallerRefusal::improper(400, "bad-body")),
+        Err(_) => return Err(CallerRefusal::improper(408, "slow-body")),
+    };
+    let path = parts.uri.path_and_query().cloned();
+    let request = CallerRequest {
+        method: parts.method,
+        uri: path.map_or_else(|| Uri::from_static("/"), Uri::from),
+        headers: parts.headers,
+        body,
+        number: facts.request.clone().unwrap_or_default(),
+        customer,
+        deadline,
+        may_repeat: route.may_repeat(),
+    };
+    Ok(RequestJourney {
+        shared: Rc::clone(shared),
+        request,
+        route,
+        config_version: config.version(),
+        facts,
+        arrived,
+        may_have_run: false,
+    })
+}
+
+impl RequestJourney {
+    /// Lets the request run and answers it.
+    async fn run<D: GatewayDialect>(mut self) -> Response<GatewayBody> {
+        let number = xxh3_64(self.request.number.as_bytes());
+        let Some(service) = self.route.target(number).cloned() else {
+            return self.refuse(CallerRefusal::not_run("no-service", SOON));
+        };
+        let customer = self.request.customer.as_ref();
+        let customer = customer.map_or(CustomerId::new(0), CustomerId::of);
+        let call = GatewayCall::builder(service, customer, self.arrived)
+            .prompt(self.facts.prompt.take().filter(|_| self.route.has_prompt))
+            .objective(self.route.objective, self.route.pause)
+            .deadline(self.request.deadline)
+            .attempts(self.route.may_repeat(), self.route.max_attempts)
+            .build();
+        let mut guard = RequestGuard::submit(&self.shared, call);
+        loop {
+            let left = self.request.deadline.since(self.shared.now());
+            let order = match tokio::time::timeout(left, guard.verdict()).await {
+                Ok(Some(StartVerdict::Start(order))) => order,
+                Ok(Some(StartVerdict::Refuse {
+                    reason,
+                    retry_after,
+                })) => return self.refuse(self.unserved(reason.name(), retry_after)),
+                Ok(None) => return self.refuse(self.unserved("stopping", SOON)),
+                Err(_) => return self.refuse(self.unserved("timeout-before-start", SOON)),
+            };
+            self.log_start(&order);
+            let (failure, answer) = match self.try_endpoint::<D>(&order, &mut guard).await {
+                Progress::Answered(response) => return response,
+                Progress::Failed(failure, answer) => (failure, answer),
+            };
+            self.may_have_run |= !failure.end.is_not_run();
+            let Some(call) = guard.end(failure.end) else {
+                return self.refuse(self.unserved("stopping", SOON));
+            };
+            let denial = match guard.repeat(call, failure.end) {
+                Ok(()) => {
+                    self.log_failure(&failure, &order, "repeated");
+                    continue;
+                }
+                Err(denial) => denial.name(),
+            };
+            self.log_failure(&failure, &order, denial);
+            return match answer {
+                Some(answer) => self.pass_whole(answer, &order),
+                None => self.refuse(self.failed(&failure)),
+            };
+        }
+    }
+
+    /// Sends the request to one endpoint.
+    async fn try_endpoint<D: GatewayDialect>(
+        &self,
+        order: &StartOrder,
+        guard: &mut RequestGuard,
+    ) -> Progress {
+        let left = self.request.deadline.since(self.shared.now());
+        let patience = if self.route.may_repeat() {
+            let patience = self.route.objective.mul_f64(PATIENCE_OBJECTIVES) + order.expected;
+            patience.min(left)
+        } else {
+            left
+        };
+        let resume = self.facts.resume_after.as_deref();
+        let answer = attempt::<D>(&self.shared, &self.request, order, resume, patience).await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(failure) => return Progress::Failed(failure, None),
+        };
+        let status = answer.response.status();
+        let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
+        if is_stream && status.is_success() {
+            return Progress::Answered(self.relay::<D>(answer, order, guard));
+        }
+        let left = self.request.deadline.since(self.shared.now());
+        let whole = tokio::time::timeout(left, read_whole(&self.shared, answer)).await;
+        match whole {
+            Ok(Ok(answer)) if status.is_server_error() => {
+                let detail = format!("status {}", status.as_u16());
+                let failure = AttemptFailure::new(AttemptEnd::Failed, detail);
+                Progress::Failed(failure, Some(answer))
+            }
+            Ok(Ok(answer)) => {
+                guard.first_event();
+                guard.end(AttemptEnd::Complete);
+                Progress::Answered(self.pass_whole(answer, order))
+            }
+            Ok(Err(detail)) => {
+                Progress::Failed(AttemptFailure::new(AttemptEnd::Broken, detail), None)
+            }
+            Err(_) => {
+                let failure = AttemptFailure::new(AttemptEnd::Broken, "no whole answer in time");
+                Progress::Failed(failure, None)
+            }
+        }
+    }
+
+    fn relay<D: GatewayDialect>(
+        &self,
+        answer: EndpointAnswer,
+        order: &StartOrder,
+        guard: &mut RequestGuard,
+    ) -> Response<GatewayBody> {
+        let status = answer.response.status();
+        let headers = caller_headers(answer.response.headers());
+        self.log_answer(status.as_u16(), "stream", Some(order));
+        let relay = StreamRelay {
+            shared: Rc::clone(&self.shared),
+            guard: guard.take(),
+            request: self.request.clone(),
+            is_resumable: self.route.may_repeat(),
+            pause: self.route.pause,
+            arrived: self.arrived,
+            resume_after: self.facts.resume_after.clone(),
+        };
+        let mut response = Response::new(relay.start::<D>(answer));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn pass_whole(&self, answer: WholeAnswer, order: &StartOrder) -> Response<GatewayBody> {
+        let elapsed = self.shared.now().since(self.arrived).as_secs_f64();
+        self.shared.metrics.first.observe(elapsed);
+        self.shared.metrics.whole.observe(elapsed);
+        self.log_answer(answer.status.as_u16(), "whole", Some(order));
+        let mut response = Response::new(GatewayBody::Whole(Full::new(answer.body)));
+        *response.status_mut() = answer.status;
+        *response.headers_mut() = answer.headers;
+        response
+    }
+
+    /// What a caller is told whose request was not started.
+    const fn unserved(&self, reason: &'static str, retry_after: Duration) -> CallerRefusal {
+        if self.may_have_run {
+            CallerRefusal::may_have_run(502, reason)
+        } else {
+            CallerRefusal::not_run(reason, retry_after)
+        }
+    }
+
+    /// What a caller is told whose last attempt failed.
+    fn failed(&self, failure: &AttemptFailure) -> CallerRefusal {
+        if !self.may_have_run {
+            return CallerRefusal::not_run(failure.end.name(), SOON);
+        }
+        let is_late = self.shared.now() >= self.request.deadline;
+        let status = if is_late { 504 } else { 502 };
+        CallerRefusal::may_have_run(status, failure.end.name())
+    }
+
+    fn refuse(&self, refusal: CallerRefusal) -> Response<GatewayBody> {
+        refuse(&self.shared, &self.request.number, refusal, self.arrived)
+    }
+
+    fn log_start(&self, order: &StartOrder) {
+        self.shared.metrics.wait.observe(order.waited.as_secs_f64());
+        self.shared.log.write(
+            "start",
+            json!({
+                "request": self.request.number,
+                "route": &*self.route.name,
+                "config": self.config_version,
+                "age_ms": self.shared.knowledge_age().map(|age| age.as_millis() as u64),
+                "endpoint": order.endpoint.as_str(),
+                "waited_ms": order.waited.as_millis() as u64,
+                "expected_ms": order.expected.as_millis() as u64,
+            }),
+        );
+    }
+
+    fn log_failure(&self, failure: &AttemptFailure, order: &StartOrder, next: &str) {
+        self.shared.log.write(
+            "attempt-failed",
+            json!({
+                "request": self.request.number,
+                "end": failure.end.name(),
+                "detail": failure.detail,
+                "endpoint": order.endpoint.as_str(),
+                "next": next,
+            }),
+        );
+    }
+
+    fn log_answer(&self, status: u16, form: &str, order: Option<&StartOrder>) {
+        let reason = form.to_owned();
+        let labels = AnswerLabels { status, reason };
+        self.shared.metrics.answers.get_or_create(&labels).inc();
+        self.shared.log.write(
+            "answer",
+            json!({
+                "request": self.request.number,
+                "status": status,
+                "form": form,
+                "endpoint": order.map(|order| order.endpoint.as_str()),
+                "ms": self.shared.now().since(self.arrived).as_millis() as u64,
+            }),
+        );
+    }
+}
+
+/// Tells a caller why it gets no answer of an endpoint.
+fn refuse(
+    shared: &GatewayShared,
+    number: &str,
+    refusal: CallerRefusal,
+    arrived: ClockTime,
+) -> Response<GatewayBody> {
+    let labels = AnswerLabels {
+        status: refusal.status,
+        reason: refusal.reason.to_owned(),
+    };
+    shared.metrics.answers.get_or_create(&labels).inc();
+    shared.log.write(
+        "refusal",
+        json!({
+            "request": number,
+            "status": refusal.status,
+            "reason": refusal.reason,
+            "retry_after_ms": refusal.retry_after.map(|after| after.as_millis() as u64),
+            "config": shared.config.borrow().as_ref().map(|config| config.version()),
+            "age_ms": shared.knowledge_age().map(|age| age.as_millis() as u64),
+            "ms": shared.now().since(arrived).as_millis() as u64,
+        }),
+    );
+    refusal.respond()
+}
+
+/// Reads an answer to its end and keeps its connection.
+async fn read_whole(
+    shared: &Rc<GatewayShared>,
+    answer: EndpointAnswer,
+) -> Result<WholeAnswer, String> {
+    let EndpointAnswer {
+        endpoint,
+        response,
+        connection,
+        ..
+    } = answer;
+    let (parts, body) = response.into_parts();
+    let collected = Limited::new(body, ANSWER_LIMIT).collect().await;
+    let body = collected.map_err(|error| error.to_string())?.to_bytes();
+    shared
+        .pool
+        .keep(&endpoint, connection, &parts.headers, shared.now());
+    Ok(WholeAnswer {
+        status: parts.status,
+        headers: caller_headers(&parts.headers),
+        body,
+    })
+}
+
+/// Header fields of an endpoint's answer that a caller gets.
+fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    drop_connection_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -0,0 +1,203 @@
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicadalock_core::collect::SortedMap;
+use cicadalock_core::gateway::{AttemptEnd, GatewayAction, GatewayMachine, RefusalReason};
+use cicadalock_core::id::{EndpointId, RequestId};
+use cicadalock_core::serving::{KnowledgeAge, ServingConfig};
+use cicadalock_core::time::ClockTime;
+use tokio::sync::{Notify, oneshot};
+
+use super::connection_pool::ConnectionPool;
+use super::gateway_metrics::GatewayMetrics;
+use super::gateway_settings::GatewaySettings;
+use super::store_follower::FollowerNews;
+use crate::clock::ProcessClock;
+use crate::events::EventLog;
+
+/// What the machine decided on a waiting request.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum StartVerdict {
+    /// Send it to an endpoint.
+    Start(StartOrder),
+    /// It did not run.
+    Refuse {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
+
+/// Where a request is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StartOrder {
+    pub(super) endpoint: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) waited: Duration,
+    pub(super) expected: Duration,
+}
+
+/// What every task of a gateway's runtime shares.
+#[derive(Debug)]
+pub(super) struct GatewayShared {
+    pub(super) settings: RefCell<GatewaySettings>,
+    pub(super) clock: ProcessClock,
+    pub(super) log: EventLog,
+    pub(super) metrics: Arc<GatewayMetrics>,
+    pub(super) machine: RefCell<GatewayMachine>,
+    pub(super) config: RefCell<Option<Arc<ServingConfig>>>,
+    pub(super) age: Cell<KnowledgeAge>,
+    pub(super) pool: ConnectionPool,
+    pub(super) is_stopping: Cell<bool>,
+    waiters: RefCell<SortedMap<RequestId, oneshot::Sender<StartVerdict>>>,
+    wake: Notify,
+    next_request: Cell<u64>,
+}
+
+impl GatewayShared {
+    pub(super) fn new(settings: GatewaySettings, log: EventLog, clock: ProcessClock) -> Rc<Self> {
+        let machine = GatewayMachine::new(settings.zone.clone(), settings.bounds);
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            clock,
+            log,
+            metrics: Arc::new(GatewayMetrics::new()),
+            machine: RefCell::new(machine),
+            config: RefCell::new(None),
+            age: Cell::new(KnowledgeAge::default()),
+            pool: ConnectionPool::default(),
+            is_stopping: Cell::new(false),
+            waiters: RefCell::new(SortedMap::new()),
+            wake: Notify::new(),
+            next_request: Cell::new(1),
+        })
+    }
+
+    pub(super) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    pub(super) fn next_id(&self) -> RequestId {
+        let id = self.next_request.get();
+        self.next_request.set(id + 1);
+        RequestId::new(id)
+    }
+
+    /// Age of what is known of the platform; none before the first reading.
+    pub(super) fn knowledge_age(&self) -> Option<Duration> {
+        self.age.get().at(self.now())
+    }
+
+    /// Tells whether tokens can be trusted now.
+    pub(super) fn is_current(&self) -> bool {
+        let limit = self.settings.borrow().times.token_limit();
+        self.age.get().is_within(limit, self.now())
+    }
+
+    /// Tells whether callers may be sent here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.config.borrow().is_some() && self.is_current()
+    }
+
+    /// Registers who waits for the machine's verdict on a request.
+    pub(super) fn expect(&self, id: RequestId) -> oneshot::Receiver<StartVerdict> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(id, sender);
+        receiver
+    }
+
+    /// Nobody waits for a verdict any more.
+    pub(super) fn forget(&self, id: RequestId) {
+        self.waiters.borrow_mut().remove(&id);
+    }
+
+    /// Carries out what the machine decided.
+    pub(super) fn drive(&self) {
+        loop {
+            let actions = self.machine.borrow_mut().take_actions(self.now());
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    /// Lets the machine look at waiting requests when something is due, until dropped.
+    pub(super) async fn keep_time(&self) {
+        loop {
+            let due = self.machine.borrow().next_wake();
+            match due {
+                Some(due) => {
+                    let pause = due.since(self.now()).max(Duration::from_millis(1));
+                    tokio::time::sleep(pause).await;
+                    self.drive();
+                }
+                None => self.wake.notified().await,
+            }
+        }
+    }
+
+    /// Takes in what a read of the store changed.
+    pub(super) fn take_news(&self, news: FollowerNews) {
+        if let Some(config) = news.config {
+            *self.config.borrow_mut() = Some(config);
+        }
+        if let Some(proven) = news.proven {
+            let mut age = self.age.get();
+            age.prove(proven);
+            self.age.set(age);
+        }
+        if let Some(list) = news.endpoints
+            && let Some(config) = self.config.borrow().as_ref()
+        {
+            let mut machine = self.machine.borrow_mut();
+            machine.set_endpoints(&list, config, self.now());
+            self.pool
+                .sweep(self.now(), |endpoint| list.contains_key(endpoint));
+        }
+        self.drive();
+    }
+
+    fn carry_out(&self, action: GatewayAction) {
+        let (id, verdict) = match action {
+            GatewayAction::Start {
+                request,
+                endpoint,
+                address,
+                waited,
+                expected,
+            } => {
+                let order = StartOrder {
+                    endpoint,
+                    address,
+                    waited,
+                    expected,
+                };
+                (request, StartVerdict::Start(order))
+            }
+            GatewayAction::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                let verdict = StartVerdict::Refuse {
+                    reason,
+                    retry_after,
+                };
+                (request, verdict)
+            }
+        };
+        let waiter = self.waiters.borrow_mut().remove(&id);
+        let is_start = matches!(verdict, StartVerdict::Start(_));
+        let is_heard = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+        if !is_heard && is_start {
+            let mut machine = self.machine.borrow_mut();
+            machine.end(id, AttemptEnd::Abandoned, self.clock.now());
+        }
+    }
+}
--- a/crates/cicadalock-node/src/lib.rs
+++ b/crates/cicadalock-node/src/lib.rs
@@ -10,6 +10,9 @@
 //! | [`hub`] | the thread that owns a state machine |
 //! | [`callers`] | the callers' HTTP port of a router |
 //! | [`endpoint`] | calls of a sidecar's endpoint |
+//! | [`gateway`] | a router that calls endpoints itself, in the words of another platform |
+//! | [`events`] | structured log lines |
+//! | [`fetch`] | reads of documents over HTTP |
 //! | [`admin`] | the status port |
 //! | [`metrics`] | counters |
 //! | [`trace`] | spans |
@@ -20,6 +23,9 @@
 pub mod cli;
 pub mod clock;
 pub mod endpoint;
+pub mod events;
+pub mod fetch;
+pub mod gateway;
 pub mod hub;
 pub mod links;
 pub mod metrics;
--- a/crates/cicadalock-node/src/platform/client.rs
+++ b/crates/cicadalock-node/src/platform/client.rs
@@ -1,10 +1,12 @@
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cicadalock_core::id::Revision;
 use cicadalock_core::revision::{Document, DocumentKind};
-use snafu::{OptionExt, ResultExt, Snafu, ensure};
+use snafu::{OptionExt, Snafu};
+
+use crate::fetch::{FetchError, fetch};
 
 /// Greatest document that is read, in bytes.
 const DOCUMENT_LIMIT: u64 = 8 * 1024 * 1024;
@@ -21,17 +23,11 @@
 /// Why a read failed.
 #[derive(Debug, Snafu)]
 pub enum ReadError {
-    /// The platform could not be reached or does not speak HTTP.
-    #[snafu(display("{source}"))]
-    Http {
-        /// Cause.
-        source: minreq::Error,
-    },
-    /// The body could not be read to its end.
-    #[snafu(display("{source}"))]
-    Body {
+    /// There is no whole answer.
+    #[snafu(context(false), display("{source}"))]
+    Fetch {
         /// Cause.
-        source: std::io::Error,
+        source: FetchError,
     },
     /// The platform answered with another status.
     #[snafu(display("status {status}"))]
@@ -39,12 +35,6 @@
         /// The status.
         status: u16,
     },
-    /// The body is shorter or longer than declared, has no length, or is too large.
-    #[snafu(display("the body has {found} bytes and not the declared length"))]
-    Truncated {
-        /// Bytes found.
-        found: usize,
-    },
     /// The revision is missing.
     #[snafu(display("there is no revision"))]
     NoRevision,
@@ -71,8 +61,6 @@
 
     /// Waits up to `wait_seconds` for a document newer than `after`; none if there is none.
     ///
-    /// The declared length is checked here, because the library takes a cut body for a whole one.
-    ///
     /// # Errors
     ///
     /// Fails if the platform gives no whole answer.
@@ -88,34 +76,17 @@
             "http://{}{path}?after={after}&wait_ms={wait_ms}",
             self.address
         );
-        let answer = minreq::get(url)
-            .with_timeout(wait_seconds + EXTRA_SECONDS)
-            .send_lazy();
-        let mut answer = answer.context(HttpSnafu)?;
-        match answer.status_code {
+        let timeout = Duration::from_secs(wait_seconds + EXTRA_SECONDS);
+        let answer = fetch(url, timeout, DOCUMENT_LIMIT)?;
+        match answer.status {
             200 => {}
             304 | 404 => return Ok(None),
             status => return StatusSnafu { status }.fail(),
         }
-        let header = |name: &str| {
-            let mut fields = answer.headers.iter();
-            fields
-                .find(|(field, _)| field.eq_ignore_ascii_case(name))
-                .map(|(_, value)| value.clone())
-        };
-        let revision = header("platform-revision").and_then(|text| text.parse().ok());
-        let declared: Option<usize> = header("content-length").and_then(|text| text.parse().ok());
-        let mut body = Vec::new();
-        (&mut answer)
-            .take(DOCUMENT_LIMIT)
-            .read_to_end(&mut body)
-            .context(BodySnafu)?;
-        ensure!(
-            declared == Some(body.len()),
-            TruncatedSnafu { found: body.len() }
-        );
+        let revision = answer.header("platform-revision");
+        let revision = revision.and_then(|text| text.parse().ok());
         let revision = revision.context(NoRevisionSnafu)?;
-        let Ok(text) = String::from_utf8(body) else {
+        let Ok(text) = String::from_utf8(answer.bytes) else {
             return NotTextSnafu.fail();
         };
         Ok(Some(Document::new(kind, revision, Arc::from(text))))
--- a/crates/cicadalock/src/main.rs
+++ b/crates/cicadalock/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cicadalock_node::cli::main()
+    cicadalock_node::cli::main::<cicadalock_platform::PlatformDialect>()
 }
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -1,3 +1,4 @@
+use cicadalock_platform::PlatformDialect;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -20,7 +21,8 @@
 pub fn main() -> ExitCode {
     let arguments: Vec<std::ffi::OsString> = std::env::args_os().skip(1).collect();
     if arguments.first().is_some_and(|first| first == "cicadalock") {
-        let status = cicadalock_node::cli::run_command(arguments.into_iter().skip(1));
+        let status =
+            cicadalock_node::cli::run_command::<PlatformDialect, _>(arguments.into_iter().skip(1));
         return ExitCode::from(status.code());
     }
     let flags = Trial::from_vec(arguments).unwrap_or_else(|error| error.exit());
