--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -13,7 +13,7 @@
 const FAR_COST: Duration = Duration::from_millis(6);
 
 /// How much more a token counts that is read again although another endpoint keeps it.
-const REREAD_WEIGHT: f64 = 1.5;
+const REREAD_WEIGHT: f64 = 5.0;
 
 /// Expected service time of an application request, for choosing between queues.
 const APPLICATION_TIME: Duration = Duration::from_millis(30);
@@ -22,6 +22,12 @@
 /// reading.
 const LONG_PROMPT_FACTOR: f64 = 0.8;
 
+/// Reading beyond which a prompt is long, as part of the longest pause of the streams beside it.
+const LONG_PART: f64 = 0.6;
+
+/// Longest pause assumed of routes that tell none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
+
 /// Subject under which endpoints are ranked for long prompts.
 const LONG_PROMPT_SUBJECT: u64 = 0x6c6f_6e67;
 
@@ -55,8 +61,16 @@
             .iter()
             .filter(|(_, state)| trusted == 0 || !state.is_suspect(now));
         let ids: Vec<&EndpointId> = candidates.clone().map(|(id, _)| *id).collect();
-        let home = call.prompt.as_ref().and_then(|prompt| home(prompt, &ids));
         let long_homes = self.long_homes(call, &ids);
+        let is_long_home =
+            |id: &EndpointId| home_rank(LONG_PROMPT_SUBJECT, id, ids.iter().copied()) < long_homes;
+        let is_long = self.is_long(call);
+        let own: Vec<&EndpointId> = ids
+            .iter()
+            .copied()
+            .filter(|id| is_long_home(id) == is_long)
+            .collect();
+        let home = call.prompt.as_ref().and_then(|prompt| home(prompt, &own));
         let plans = candidates.map(|(id, state)| {
             let mut plan = self.plan_at(call, id, home == Some(*id), now);
             let mut weight = plan.expected;
@@ -115,13 +129,20 @@
             work,
             units,
             expected: wait + work.read,
-            is_long: rate.time(ReadRate::work(
-                prompt,
-                prompt.tokens() - prompt.own_tokens(),
-            )) > burst,
+            is_long: self.is_long(call),
         }
     }
 
+    /// Tells whether reading a prompt's own part alone outlasts a burst.
+    fn is_long(&self, call: &GatewayCall) -> bool {
+        let Some(prompt) = &call.prompt else {
+            return false;
+        };
+        let kept = prompt.tokens() - prompt.own_tokens();
+        let read = self.rate(&call.service).time(ReadRate::work(prompt, kept));
+        read > call.pause.unwrap_or(DEFAULT_PAUSE).mul_f64(LONG_PART)
+    }
+
     /// Number of endpoints that take prompts too long for a burst.
     fn long_homes(&self, call: &GatewayCall, ids: &[&EndpointId]) -> usize {
         let Some(traffic) = self.traffic.get(&call.service) else {
