--- a/crates/cicadalock-core/src/desk/customer_meter.rs
+++ b/crates/cicadalock-core/src/desk/customer_meter.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::collect::SortedMap;
-use crate::id::CustomerId;
+use crate::id::{CustomerId, LinkId};
 use crate::time::ClockTime;
 
 /// Time in which what a customer received loses half of its weight.
@@ -9,36 +9,60 @@
 /// Half of the four seconds over which customers' shares are reckoned.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Remembered cost below this is forgotten.
-const NEGLIGIBLE_COST: f64 = 1.0;
-
-/// What each customer received lately, in cost units that fade.
+/// What each customer received lately through each router, in cost units that fade.
+///
+/// A router counts what it saw start. A desk takes the counts of all routers and adds what it
+/// granted since, so that a customer is weighed by what the whole fleet gave it.
 #[derive(Debug, Clone, Default)]
 pub struct CustomerMeter {
-    costs: SortedMap<CustomerId, f64>,
-    faded: ClockTime,
+    customers: SortedMap<CustomerId, SortedMap<LinkId, FadingCost>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FadingCost {
+    cost: f64,
+    at: ClockTime,
+}
+
+impl FadingCost {
+    fn at(self, now: ClockTime) -> f64 {
+        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.cost * 0.5_f64.powf(halves)
+    }
 }
 
 impl CustomerMeter {
-    /// Charges a customer.
-    pub fn charge(&mut self, customer: CustomerId, cost: f64, now: ClockTime) {
-        self.fade(now);
-        *self.costs.get_or_insert_with(customer, || 0.0) += cost;
+    /// Charges a customer for a request of `link`.
+    pub fn charge(&mut self, customer: CustomerId, link: LinkId, cost: f64, now: ClockTime) {
+        let entry = self.entry(customer, link, now);
+        *entry = FadingCost {
+            cost: entry.at(now) + cost,
+            at: now,
+        };
+    }
+
+    /// Replaces what a customer received through `link`.
+    pub fn set(&mut self, customer: CustomerId, link: LinkId, cost: f64, now: ClockTime) {
+        *self.entry(customer, link, now) = FadingCost { cost, at: now };
     }
 
     /// What a customer received lately.
     #[must_use]
-    pub fn received(&self, customer: CustomerId) -> f64 {
-        self.costs.get(&customer).copied().unwrap_or(0.0)
+    pub fn received(&self, customer: CustomerId, now: ClockTime) -> f64 {
+        let links = self.customers.get(&customer);
+        links.map_or(0.0, |links| links.values().map(|cost| cost.at(now)).sum())
+    }
+
+    /// Forgets what a router told.
+    pub fn drop_link(&mut self, link: LinkId) {
+        for links in self.customers.values_mut() {
+            links.remove(&link);
+        }
+        self.customers.retain(|_, links| !links.is_empty());
     }
 
-    fn fade(&mut self, now: ClockTime) {
-        let passed = now.since(self.faded);
-        self.faded = self.faded.max(now);
-        let factor = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        self.costs.retain(|_, cost| {
-            *cost *= factor;
-            *cost >= NEGLIGIBLE_COST
-        });
+    fn entry(&mut self, customer: CustomerId, link: LinkId, now: ClockTime) -> &mut FadingCost {
+        let links = self.customers.get_or_insert_with(customer, SortedMap::new);
+        links.get_or_insert_with(link, || FadingCost { cost: 0.0, at: now })
     }
 }
--- /dev/null
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -0,0 +1,242 @@
+use std::time::Duration;
+
+use super::customer_meter::CustomerMeter;
+use super::endpoint_desk::{DeskAsk, DeskRefusal, EndpointDesk, RunKey};
+use super::engine_gate::GateLimits;
+use crate::collect::SortedMap;
+use crate::id::{CustomerId, LinkId, RequestId};
+use crate::message::{
+    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame,
+};
+use crate::time::ClockTime;
+
+/// Waiting requests are looked at this often.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Routers with requests here hear the desk's state this often, others every second.
+const STATE_INTERVALS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// A router that is silent for longer has its requests forgotten; it says something every second.
+const SILENCE_LIMIT: Duration = Duration::from_millis(3_500);
+
+/// What a desk's surroundings are to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DeskAction {
+    /// Send a message to a router.
+    Send(LinkId, DeskMessage),
+    /// End the connection of a silent router.
+    Close(LinkId),
+}
+
+/// The desk of one model endpoint, asked by every router.
+#[derive(Debug)]
+pub struct DeskMachine {
+    desk: EndpointDesk,
+    meter: CustomerMeter,
+    routers: SortedMap<LinkId, RouterSeat>,
+    actions: Vec<DeskAction>,
+    swept: ClockTime,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RouterSeat {
+    heard: ClockTime,
+    told: ClockTime,
+    /// Requests of the router that wait or run here.
+    requests: u32,
+}
+
+impl DeskMachine {
+    /// Creates a desk that learns its endpoint's limits from the first router.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            desk: EndpointDesk::new(GateLimits::engine(1, 0)),
+            meter: CustomerMeter::default(),
+            routers: SortedMap::new(),
+            actions: Vec::new(),
+            swept: ClockTime::default(),
+        }
+    }
+
+    /// Takes in a message of a router.
+    pub fn receive(&mut self, link: LinkId, message: DeskMessage, now: ClockTime) {
+        if let DeskMessage::Hello(hello) = &message {
+            self.welcome(link, hello, now);
+            return;
+        }
+        let Some(seat) = self.routers.get_mut(&link) else {
+            return;
+        };
+        seat.heard = now;
+        match message {
+            DeskMessage::Ask(frame) => self.take_ask(link, &frame, now),
+            DeskMessage::Withdraw(notice) => {
+                let key = key(link, notice);
+                // The grant may have crossed the withdrawal.
+                if !self.desk.withdraw(key) {
+                    self.desk.end(key, now);
+                }
+                self.leave(link);
+            }
+            DeskMessage::FirstEvent(notice) => self.desk.first_event(key(link, notice), now),
+            DeskMessage::End(notice) => {
+                self.desk.end(key(link, notice), now);
+                self.leave(link);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes the loss of a router's connection; nothing is known of its requests any more.
+    pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
+        self.routers.remove(&link);
+        self.meter.drop_link(link);
+        self.desk.take_link(link);
+        self.desk.gate_mut().drop_link(link, now);
+    }
+
+    /// When something is next due.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<ClockTime> {
+        if self.desk.waiting() > 0 {
+            return Some(self.swept + SWEEP_INTERVAL);
+        }
+        let due = self
+            .routers
+            .values()
+            .map(|seat| seat.told + seat.interval());
+        due.min()
+    }
+
+    /// What is to be done now.
+    pub fn take_actions(&mut self, now: ClockTime) -> Vec<DeskAction> {
+        if now.since(self.swept) >= SWEEP_INTERVAL {
+            self.swept = now;
+            for refusal in self.desk.refuse_overdue(now) {
+                self.refuse(refusal);
+            }
+            self.close_silent(now);
+        }
+        for (link, request) in self.desk.admit(&mut self.meter, now) {
+            let request = request.get();
+            let grant = DeskMessage::Grant(DeskNotice { request });
+            self.actions.push(DeskAction::Send(link, grant));
+        }
+        self.tell_state(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The endpoint's desk.
+    #[must_use]
+    pub const fn desk(&self) -> &EndpointDesk {
+        &self.desk
+    }
+
+    fn welcome(&mut self, link: LinkId, hello: &DeskHello, now: ClockTime) {
+        let mut limits = GateLimits::engine(hello.slots, hello.memory);
+        limits.pause = Duration::from_millis(u64::from(hello.pause_ms));
+        self.desk.gate_mut().set_limits(limits);
+        let mut requests = 0;
+        for run in &hello.runs {
+            if let Some(frame) = &run.ask {
+                let key = (link, RequestId::new(frame.request));
+                self.desk.adopt(key, &ask(frame, now), run.is_read, now);
+                requests += 1;
+            }
+        }
+        self.routers.insert(
+            link,
+            RouterSeat {
+                heard: now,
+                told: ClockTime::default(),
+                requests,
+            },
+        );
+    }
+
+    fn take_ask(&mut self, link: LinkId, frame: &DeskAskFrame, now: ClockTime) {
+        let customer = CustomerId::new(frame.customer);
+        self.meter
+            .set(customer, link, f64::from(frame.received), now);
+        if let Some(seat) = self.routers.get_mut(&link) {
+            seat.requests += 1;
+        }
+        let key = (link, RequestId::new(frame.request));
+        if let Err(refusal) = self.desk.ask(key, ask(frame, now), &self.meter, now) {
+            self.refuse(refusal);
+        }
+    }
+
+    fn refuse(&mut self, refusal: DeskRefusal) {
+        let (link, request) = refusal.key;
+        self.leave(link);
+        let frame = DeskRefusalFrame {
+            request: request.get(),
+            come_back_ms: refusal.come_back.as_millis() as u32,
+        };
+        self.actions
+            .push(DeskAction::Send(link, DeskMessage::Refuse(frame)));
+    }
+
+    fn leave(&mut self, link: LinkId) {
+        if let Some(seat) = self.routers.get_mut(&link) {
+            seat.requests = seat.requests.saturating_sub(1);
+        }
+    }
+
+    fn tell_state(&mut self, now: ClockTime) {
+        let state = self.desk.state(now);
+        let frame = DeskStateFrame {
+            wait_ms: state.wait.as_millis() as u32,
+            rate: state.rate.tokens_per_milli() as f32,
+            running: state.running,
+        };
+        for (link, seat) in self.routers.iter_mut() {
+            if now.since(seat.told) >= seat.interval() {
+                seat.told = now;
+                self.actions
+                    .push(DeskAction::Send(*link, DeskMessage::State(frame)));
+            }
+        }
+    }
+
+    fn close_silent(&mut self, now: ClockTime) {
+        let silent = self
+            .routers
+            .iter()
+            .filter(|(_, seat)| now.since(seat.heard) > SILENCE_LIMIT);
+        let silent: Vec<LinkId> = silent.map(|(link, _)| *link).collect();
+        for link in silent {
+            self.link_down(link, now);
+            self.actions.push(DeskAction::Close(link));
+        }
+    }
+}
+
+impl Default for DeskMachine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RouterSeat {
+    const fn interval(&self) -> Duration {
+        if self.requests > 0 {
+            STATE_INTERVALS.0
+        } else {
+            STATE_INTERVALS.1
+        }
+    }
+}
+
+const fn key(link: LinkId, notice: DeskNotice) -> RunKey {
+    (link, RequestId::new(notice.request))
+}
+
+fn ask(frame: &DeskAskFrame, now: ClockTime) -> DeskAsk {
+    let after = |millis: u32| now + Duration::from_millis(u64::from(millis));
+    DeskAsk::new(CustomerId::new(frame.customer), after(frame.until_ms))
+        .work(f64::from(frame.units), frame.memory, frame.cost)
+        .latest(after(frame.latest_ms))
+}
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -3,20 +3,53 @@
 use super::customer_meter::CustomerMeter;
 use super::engine_gate::{EngineGate, GateLimits, ReadWork};
 use super::wait_line::WaitLine;
-use crate::id::{CustomerId, RequestId};
+use crate::id::{CustomerId, LinkId, RequestId};
+use crate::place::ReadRate;
 use crate::time::ClockTime;
 
+/// Shortest and longest advice on when to come back.
+///
+/// Callers heed up to a third of the time that they have left.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(2_000));
+
+/// A request at a desk: the router that has it, and its number there.
+pub type RunKey = (LinkId, RequestId);
+
 /// A request that wants to start at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DeskAsk {
     /// Customer that is charged.
     pub customer: CustomerId,
-    /// What it asks of the endpoint.
-    pub work: ReadWork,
+    /// Reading, in tokens without context.
+    pub units: f64,
+    /// Tokens in the endpoint's memory when the answer is whole.
+    pub memory: u64,
     /// What the customer is charged, in cost units.
     pub cost: u64,
     /// Latest start at which the answer can be on time.
     pub latest: ClockTime,
+    /// Latest start that is of use; later the request is refused.
+    pub until: ClockTime,
+}
+
+/// A waiting request that is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DeskRefusal {
+    /// The request.
+    pub key: RunKey,
+    /// When there is likely to be room.
+    pub come_back: Duration,
+}
+
+/// What a desk tells routers of its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct DeskState {
+    /// Time until a request that asks now is expected to start.
+    pub wait: Duration,
+    /// How fast the endpoint reads.
+    pub rate: ReadRate,
+    /// Requests that run.
+    pub running: u32,
 }
 
 /// Decides who starts next at one endpoint.
@@ -24,31 +57,38 @@
 pub struct EndpointDesk {
     gate: EngineGate,
     line: WaitLine,
-    meter: CustomerMeter,
+    rate: ReadRate,
 }
 
 impl DeskAsk {
     /// Creates an ask without a prompt, charged as one unit.
     #[must_use]
-    pub const fn new(customer: CustomerId, latest: ClockTime) -> Self {
+    pub const fn new(customer: CustomerId, until: ClockTime) -> Self {
         Self {
             customer,
-            work: ReadWork {
-                read: Duration::ZERO,
-                memory: 0,
-            },
+            units: 0.0,
+            memory: 0,
             cost: 1,
-            latest,
+            latest: until,
+            until,
         }
     }
 
     /// Sets what is asked of an endpoint that reads prompts, and the customer's charge.
     #[must_use]
-    pub const fn work(mut self, work: ReadWork, cost: u64) -> Self {
-        self.work = work;
+    pub const fn work(mut self, units: f64, memory: u64, cost: u64) -> Self {
+        self.units = units;
+        self.memory = memory;
         self.cost = cost;
         self
     }
+
+    /// Sets the latest start at which the answer can be on time.
+    #[must_use]
+    pub const fn latest(mut self, latest: ClockTime) -> Self {
+        self.latest = latest;
+        self
+    }
 }
 
 impl EndpointDesk {
@@ -58,7 +98,7 @@
         Self {
             gate: EngineGate::new(limits),
             line: WaitLine::default(),
-            meter: CustomerMeter::default(),
+            rate: ReadRate::default(),
         }
     }
 
@@ -79,39 +119,91 @@
         &mut self.gate
     }
 
-    /// Takes in a request that waits.
-    pub fn ask(&mut self, id: RequestId, ask: DeskAsk) {
-        self.line.push(id, ask);
+    /// How fast the endpoint reads.
+    #[must_use]
+    pub const fn rate(&self) -> ReadRate {
+        self.rate
+    }
+
+    /// Takes in a rate that was learnt elsewhere.
+    pub const fn set_rate(&mut self, rate: ReadRate) {
+        self.rate = rate;
+    }
+
+    /// Takes in a request, unless it cannot start while that is of use.
+    ///
+    /// # Errors
+    ///
+    /// Fails with advice on when there is likely to be room.
+    pub fn ask(
+        &mut self,
+        key: RunKey,
+        ask: DeskAsk,
+        meter: &CustomerMeter,
+        now: ClockTime,
+    ) -> Result<(), DeskRefusal> {
+        let wait = self.wait_of(&ask, meter, now);
+        let patience = ask.until.since(now);
+        if wait > patience {
+            let come_back = wait.saturating_sub(patience / 2);
+            return Err(DeskRefusal {
+                key,
+                come_back: come_back.clamp(COME_BACK.0, COME_BACK.1),
+            });
+        }
+        self.line.push(key, ask);
+        Ok(())
     }
 
     /// Removes a request that waits; returns whether it did.
-    pub fn withdraw(&mut self, id: RequestId) -> bool {
-        self.line.remove(id)
+    pub fn withdraw(&mut self, key: RunKey) -> bool {
+        self.line.remove(key).is_some()
     }
 
-    /// Lets those start that may, in order.
-    pub fn admit(&mut self, now: ClockTime) -> Vec<RequestId> {
+    /// Takes every waiting request of a router.
+    pub fn take_link(&mut self, link: LinkId) -> Vec<RequestId> {
+        let taken = self.line.take_where(|(owner, _), _| *owner == link);
+        taken.into_iter().map(|((_, id), _)| id).collect()
+    }
+
+    /// Lets those start that may, in order, and charges them.
+    pub fn admit(&mut self, meter: &mut CustomerMeter, now: ClockTime) -> Vec<RunKey> {
         let mut admitted = Vec::new();
-        if self.line.is_empty() {
-            return admitted;
-        }
-        let (gate, meter) = (&mut self.gate, &mut self.meter);
-        while let Some((id, ask)) = self
-            .line
-            .take_next(meter, now, |ask| gate.admits(&ask.work, now))
-        {
-            gate.start(id, ask.work, now);
-            meter.charge(ask.customer, ask.cost as f64, now);
-            admitted.push(id);
+        while !self.line.is_empty() {
+            let (gate, rate) = (&self.gate, self.rate);
+            let received = |customer| meter.received(customer, now);
+            let next = self
+                .line
+                .take_next(received, now, |ask| gate.admits(&work(ask, rate), now));
+            let Some((key, ask)) = next else {
+                break;
+            };
+            self.gate.start(key, work(&ask, rate), ask.units, now);
+            meter.charge(ask.customer, key.0, ask.cost as f64, now);
+            admitted.push(key);
         }
         admitted
     }
 
-    /// Time until a request that asks now is expected to start.
+    /// Takes the requests that waited until a start was of no more use.
+    pub fn refuse_overdue(&mut self, now: ClockTime) -> Vec<DeskRefusal> {
+        let overdue = self.line.take_where(|_, ask| now > ask.until);
+        let come_back = self.gate.backlog(now).clamp(COME_BACK.0, COME_BACK.1);
+        overdue
+            .into_iter()
+            .map(|(key, _)| DeskRefusal { key, come_back })
+            .collect()
+    }
+
+    /// What routers are told.
     #[must_use]
-    pub fn expected_wait(&self, now: ClockTime) -> Duration {
-        let waiting: Duration = self.line.iter().map(|(_, ask)| ask.work.read).sum();
-        self.gate.backlog(now) + waiting
+    pub fn state(&self, now: ClockTime) -> DeskState {
+        let waiting: f64 = self.line.iter().map(|(_, ask)| ask.units).sum();
+        DeskState {
+            wait: self.gate.backlog(now) + self.rate.time(waiting),
+            rate: self.rate,
+            running: self.gate.running() as u32,
+        }
     }
 
     /// Requests that wait.
@@ -120,13 +212,40 @@
         self.line.len()
     }
 
+    /// Takes in a request that runs already.
+    pub fn adopt(&mut self, key: RunKey, ask: &DeskAsk, is_read: bool, now: ClockTime) {
+        self.gate.start(key, work(ask, self.rate), 0.0, now);
+        if is_read {
+            self.gate.first_event(key, now);
+        }
+    }
+
     /// Notes that a request's prompt is read.
-    pub fn first_event(&mut self, id: RequestId, now: ClockTime) {
-        self.gate.first_event(id, now);
+    pub fn first_event(&mut self, key: RunKey, now: ClockTime) {
+        if let Some((units, took)) = self.gate.first_event(key, now) {
+            self.rate.observe(units, took);
+        }
     }
 
     /// Notes that a request is no longer at the endpoint.
-    pub fn end(&mut self, id: RequestId, now: ClockTime) {
-        self.gate.end(id, now);
+    pub fn end(&mut self, key: RunKey, now: ClockTime) {
+        self.gate.end(key, now);
+    }
+
+    /// Expected wait of a request: what is being read, and what goes before it.
+    fn wait_of(&self, ask: &DeskAsk, meter: &CustomerMeter, now: ClockTime) -> Duration {
+        let own = meter.received(ask.customer, now);
+        let ahead = self.line.iter().filter(|(_, other)| {
+            other.customer == ask.customer || meter.received(other.customer, now) < own
+        });
+        let units: f64 = ahead.map(|(_, other)| other.units).sum();
+        self.gate.backlog(now) + self.rate.time(units)
+    }
+}
+
+fn work(ask: &DeskAsk, rate: ReadRate) -> ReadWork {
+    ReadWork {
+        read: rate.time(ask.units),
+        memory: ask.memory,
     }
 }
--- a/crates/cicadalock-core/src/desk/engine_gate.rs
+++ b/crates/cicadalock-core/src/desk/engine_gate.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
+use super::endpoint_desk::RunKey;
 use crate::collect::SortedMap;
-use crate::id::RequestId;
+use crate::id::LinkId;
 use crate::time::ClockTime;
 
 /// Part of time that an endpoint may spend with reading while streams run on it.
@@ -43,7 +44,7 @@
 #[derive(Debug, Clone)]
 pub struct EngineGate {
     limits: GateLimits,
-    runs: SortedMap<RequestId, GateRun>,
+    runs: SortedMap<RunKey, GateRun>,
     /// When the reading that was started is expected to be done.
     read_until: ClockTime,
     /// Reading that the duty still allows, refilled with time.
@@ -57,6 +58,9 @@
 struct GateRun {
     work: ReadWork,
     is_reading: bool,
+    started: ClockTime,
+    /// Reading to learn from, if no other prompt was being read at its start.
+    alone: Option<f64>,
 }
 
 impl GateLimits {
@@ -152,26 +156,45 @@
             && self.allowance_at(now) >= work.read.as_secs_f64().min(burst.as_secs_f64()) / 2.0
     }
 
-    /// Notes the start of a request that was admitted.
-    pub fn start(&mut self, id: RequestId, work: ReadWork, now: ClockTime) {
+    /// Notes the start of a request that reads `units` tokens.
+    pub fn start(&mut self, key: RunKey, work: ReadWork, units: f64, now: ClockTime) {
+        let alone = (!self.is_reading() && units > 0.0).then_some(units);
+        for run in self.runs.values_mut() {
+            run.alone = None;
+        }
         self.allowance = self.allowance_at(now) - work.read.as_secs_f64();
         self.refilled = now;
         self.read_until = self.read_until.max(now) + work.read;
-        let is_reading = true;
-        self.runs.insert(id, GateRun { work, is_reading });
+        self.runs.insert(
+            key,
+            GateRun {
+                work,
+                is_reading: true,
+                started: now,
+                alone,
+            },
+        );
+    }
+
+    /// Notes that a request's prompt is read; returns its size and time if it was read alone.
+    pub fn first_event(&mut self, key: RunKey, now: ClockTime) -> Option<(f64, Duration)> {
+        let run = self.runs.get_mut(&key)?;
+        run.is_reading = false;
+        let units = run.alone.take();
+        let took = now.since(run.started);
+        self.recall_backlog(now);
+        units.map(|units| (units, took))
     }
 
-    /// Notes that a request's prompt is read.
-    pub fn first_event(&mut self, id: RequestId, now: ClockTime) {
-        if let Some(run) = self.runs.get_mut(&id) {
-            run.is_reading = false;
-        }
+    /// Notes that a request is no longer at the endpoint.
+    pub fn end(&mut self, key: RunKey, now: ClockTime) {
+        self.runs.remove(&key);
         self.recall_backlog(now);
     }
 
-    /// Notes that a request is no longer at the endpoint.
-    pub fn end(&mut self, id: RequestId, now: ClockTime) {
-        self.runs.remove(&id);
+    /// Forgets every request of a router.
+    pub fn drop_link(&mut self, link: LinkId, now: ClockTime) {
+        self.runs.retain(|(owner, _), _| *owner != link);
         self.recall_backlog(now);
     }
 
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -10,25 +10,30 @@
 //! # Example
 //!
 //! ```
-//! use cicadalock_core::desk::{DeskAsk, EndpointDesk};
-//! use cicadalock_core::id::{CustomerId, RequestId};
+//! use cicadalock_core::desk::{CustomerMeter, DeskAsk, EndpointDesk};
+//! use cicadalock_core::id::{CustomerId, LinkId, RequestId};
 //! use cicadalock_core::time::ClockTime;
 //!
 //! let mut desk = EndpointDesk::for_application(1);
+//! let mut meter = CustomerMeter::default();
 //! let now = ClockTime::from_millis(5);
-//! desk.ask(RequestId::new(1), DeskAsk::new(CustomerId::new(7), ClockTime::from_millis(90)));
-//! desk.ask(RequestId::new(2), DeskAsk::new(CustomerId::new(7), ClockTime::from_millis(90)));
-//! assert_eq!(desk.admit(now), [RequestId::new(1)]);
-//! desk.end(RequestId::new(1), now);
-//! assert_eq!(desk.admit(now), [RequestId::new(2)]);
+//! let ask = DeskAsk::new(CustomerId::new(7), ClockTime::from_millis(90));
+//! let (first, second) = ((LinkId::new(0), RequestId::new(1)), (LinkId::new(0), RequestId::new(2)));
+//! desk.ask(first, ask, &meter, now).unwrap();
+//! desk.ask(second, ask, &meter, now).unwrap();
+//! assert_eq!(desk.admit(&mut meter, now), [first]);
+//! desk.end(first, now);
+//! assert_eq!(desk.admit(&mut meter, now), [second]);
 //! ```
 
 mod customer_meter;
+mod desk_machine;
 mod endpoint_desk;
 mod engine_gate;
 mod wait_line;
 
 pub use customer_meter::CustomerMeter;
-pub use endpoint_desk::{DeskAsk, EndpointDesk};
+pub use desk_machine::{DeskAction, DeskMachine};
+pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 pub use engine_gate::{EngineGate, GateLimits, ReadWork};
 pub use wait_line::WaitLine;
--- a/crates/cicadalock-core/src/desk/wait_line.rs
+++ b/crates/cicadalock-core/src/desk/wait_line.rs
@@ -1,38 +1,36 @@
 use std::collections::VecDeque;
 
-use super::customer_meter::CustomerMeter;
-use super::endpoint_desk::DeskAsk;
+use super::endpoint_desk::{DeskAsk, RunKey};
 use crate::collect::SortedMap;
-use crate::id::{CustomerId, RequestId};
+use crate::id::CustomerId;
 use crate::time::ClockTime;
 
 /// Waiting requests, by customer in order of arrival.
 #[derive(Debug, Clone, Default)]
 pub struct WaitLine {
-    customers: SortedMap<CustomerId, VecDeque<(RequestId, DeskAsk)>>,
+    customers: SortedMap<CustomerId, VecDeque<(RunKey, DeskAsk)>>,
 }
 
 impl WaitLine {
     /// Appends a request.
-    pub fn push(&mut self, id: RequestId, ask: DeskAsk) {
+    pub fn push(&mut self, key: RunKey, ask: DeskAsk) {
         let line = self
             .customers
             .get_or_insert_with(ask.customer, VecDeque::new);
-        line.push_back((id, ask));
+        line.push_back((key, ask));
     }
 
-    /// Removes a request; returns whether it waited.
-    pub fn remove(&mut self, id: RequestId) -> bool {
-        let mut is_found = false;
+    /// Removes a request.
+    pub fn remove(&mut self, key: RunKey) -> Option<DeskAsk> {
+        let mut found = None;
         for line in self.customers.values_mut() {
-            if let Some(index) = line.iter().position(|(waiting, _)| *waiting == id) {
-                line.remove(index);
-                is_found = true;
+            if let Some(index) = line.iter().position(|(waiting, _)| *waiting == key) {
+                found = line.remove(index).map(|(_, ask)| ask);
                 break;
             }
         }
         self.customers.retain(|_, line| !line.is_empty());
-        is_found
+        found
     }
 
     /// Takes the request that goes next: of the customer that received least, the first that fits.
@@ -40,14 +38,14 @@
     /// Within a customer, requests that can still be on time go before those that cannot.
     pub fn take_next(
         &mut self,
-        meter: &CustomerMeter,
+        received: impl Fn(CustomerId) -> f64,
         now: ClockTime,
         fits: impl Fn(&DeskAsk) -> bool,
-    ) -> Option<(RequestId, DeskAsk)> {
+    ) -> Option<(RunKey, DeskAsk)> {
         let mut order: Vec<(f64, CustomerId)> = self
             .customers
             .keys()
-            .map(|customer| (meter.received(*customer), *customer))
+            .map(|customer| (received(*customer), *customer))
             .collect();
         order.sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
         for (_, customer) in order {
@@ -66,8 +64,24 @@
         None
     }
 
+    /// Takes the requests for which `is_due` holds.
+    pub fn take_where(
+        &mut self,
+        is_due: impl Fn(&RunKey, &DeskAsk) -> bool,
+    ) -> Vec<(RunKey, DeskAsk)> {
+        let mut taken = Vec::new();
+        for line in self.customers.values_mut() {
+            let (due, rest): (VecDeque<_>, _) =
+                line.drain(..).partition(|(key, ask)| is_due(key, ask));
+            *line = rest;
+            taken.extend(due);
+        }
+        self.customers.retain(|_, line| !line.is_empty());
+        taken
+    }
+
     /// The waiting requests.
-    pub fn iter(&self) -> impl Iterator<Item = &(RequestId, DeskAsk)> {
+    pub fn iter(&self) -> impl Iterator<Item = &(RunKey, DeskAsk)> {
         self.customers.values().flatten()
     }
 
--- a/crates/cicadalock-core/src/gateway/action.rs
+++ b/crates/cicadalock-core/src/gateway/action.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::id::{EndpointId, RequestId};
+use crate::message::DeskMessage;
 
 /// What the surroundings of a gateway are to do.
 #[derive(Debug, Clone, PartialEq)]
@@ -20,6 +21,15 @@
         /// Time to the first event that was expected when it was placed.
         expected: Duration,
     },
+    /// Send a message to the desk beside an endpoint.
+    TellDesk {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The message.
+        message: DeskMessage,
+    },
+    /// End the connection to a desk that is silent.
+    CloseDesk(EndpointId),
     /// Tell a caller that its request did not run.
     Refuse {
         /// The request.
--- a/crates/cicadalock-core/src/gateway/endpoint_state.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -1,5 +1,7 @@
-use crate::desk::{EndpointDesk, GateLimits};
-use crate::place::EndpointHealth;
+use std::time::Duration;
+
+use crate::desk::{DeskState, EndpointDesk, GateLimits};
+use crate::place::{EndpointHealth, ReadRate};
 use crate::serving::{ListedEndpoint, ServiceTraits};
 use crate::time::ClockTime;
 
@@ -7,7 +9,10 @@
 #[derive(Debug)]
 pub(super) struct EndpointState {
     pub(super) listed: ListedEndpoint,
+    /// Decides while no desk beside the endpoint is connected; always knows this router's runs.
     pub(super) desk: EndpointDesk,
+    /// The desk beside the endpoint, which knows the runs of every router.
+    pub(super) remote: Option<RemoteDesk>,
     pub(super) health: EndpointHealth,
     /// Requests of this gateway at the endpoint.
     pub(super) own: u32,
@@ -15,12 +20,23 @@
     pub(super) is_replaced: bool,
 }
 
+/// A desk beside an endpoint, as its last words and what was asked since tell.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct RemoteDesk {
+    pub(super) state: DeskState,
+    pub(super) heard: ClockTime,
+    pub(super) told: ClockTime,
+    /// Reading asked for since the desk told its state.
+    pub(super) asked_units: f64,
+}
+
 impl EndpointState {
     pub(super) fn new(listed: ListedEndpoint, traits: Option<&ServiceTraits>) -> Self {
         let limits = gate_limits(&listed, traits);
         Self {
             listed,
             desk: EndpointDesk::new(limits),
+            remote: None,
             health: EndpointHealth::default(),
             own: 0,
             is_replaced: false,
@@ -46,6 +62,23 @@
     pub(super) fn is_suspect(&self, now: ClockTime) -> bool {
         self.health.is_suspect(now)
     }
+
+    /// How fast the endpoint reads.
+    pub(super) fn rate(&self) -> ReadRate {
+        self.remote
+            .map_or(self.desk.rate(), |remote| remote.state.rate)
+    }
+
+    /// Time until a request that asks now is expected to start.
+    pub(super) fn expected_wait(&self, now: ClockTime) -> Duration {
+        match &self.remote {
+            Some(remote) => {
+                let told = remote.state.wait.saturating_sub(now.since(remote.heard));
+                told + remote.state.rate.time(remote.asked_units)
+            }
+            None => self.desk.state(now).wait,
+        }
+    }
 }
 
 /// Requests kept at an application endpoint beyond its slots, as a part of them.
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -5,8 +5,11 @@
 use super::endpoint_state::EndpointState;
 use super::placing::PlacePlan;
 use crate::collect::SortedMap;
-use crate::desk::DeskAsk;
-use crate::id::{EndpointId, RequestId, ServiceName, ZoneName};
+use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, DeskState, RunKey};
+use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
+use crate::message::{
+    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskPing, DeskRun, DeskStateFrame,
+};
 use crate::place::{PrefixMemory, ReadRate};
 use crate::retry::RepeatBudget;
 use crate::serving::{EndpointList, ServingConfig};
@@ -15,24 +18,31 @@
 /// Requests that wait are looked at this often.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Tokens assumed of an endpoint's memory for shared parts, if the configuration tells none.
-const DEFAULT_MEMORY: u64 = 200_000;
-
-/// Part of an endpoint's memory in which shared parts are believed to last.
-const SHARED_MEMORY_PART: f64 = 0.5;
+/// Tokens of one endpoint's memory in which shared parts are believed to last.
+///
+/// Half of a small endpoint's; the rest holds running requests and own parts.
+const SHARED_MEMORY: u64 = 100_000;
 
 /// Part of the objective within which a request must start to be let in.
 const START_PART: f64 = 0.8;
 
-/// Shortest and longest advice on when to come back.
-///
-/// Callers heed up to a third of the time that they have left.
-const RETRY_AFTER: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_millis(2_000));
+/// Advice on when to come back if no endpoint may be used; the list changes within seconds.
+const NO_ENDPOINT_ADVICE: Duration = Duration::from_secs(2);
 
 /// Least time in which an endpoint can answer anything.
 const LEAST_TIME: Duration = Duration::from_millis(40);
 
+/// A desk that owes an answer and is silent for longer no longer decides.
+///
+/// It tells its state every 100 ms; three in a row are not lost by chance.
+const DESK_SILENCE: Duration = Duration::from_millis(350);
+
+/// A desk hears something of each router this often; it gives up after three times as long.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The link under which a router's own desks know its requests.
+const OWN_LINK: LinkId = LinkId::new(0);
+
 /// Bounds that hold for all routers together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GatewayBounds {
@@ -50,6 +60,8 @@
     pub(super) memory: PrefixMemory,
     pub(super) traffic: SortedMap<ServiceName, ServiceTraffic>,
     bounds: GatewayBounds,
+    /// What customers received through this router.
+    meter: CustomerMeter,
     requests: SortedMap<RequestId, GatewayRequest>,
     actions: Vec<GatewayAction>,
     swept: ClockTime,
@@ -58,9 +70,8 @@
 /// What is learnt of one service.
 #[derive(Debug)]
 pub(super) struct ServiceTraffic {
-    rate: ReadRate,
     budget: RepeatBudget,
-    /// Reading of all prompts and of those too long for a burst, fading.
+    /// Reading of all prompts and of long ones, fading.
     all_work: f64,
     long_work: f64,
 }
@@ -72,16 +83,17 @@
     /// When it began to wait, anew after a failed attempt.
     since: ClockTime,
     plan: PlacePlan,
+    ask: DeskAsk,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum GatewayPhase {
+    /// In the line of this router's own desk.
     Waiting,
-    /// At an endpoint; `alone` while no other prompt was being read there.
-    Running {
-        started: ClockTime,
-        alone: bool,
-    },
+    /// The desk beside the endpoint was asked.
+    Asked,
+    /// At the endpoint.
+    Running { is_read: bool },
 }
 
 /// Weight that earlier prompts keep with each new one in the part of long prompts.
@@ -90,7 +102,6 @@
 impl ServiceTraffic {
     fn new(bounds: &GatewayBounds) -> Self {
         Self {
-            rate: ReadRate::default(),
             budget: RepeatBudget::new(bounds.repeat_ratio, bounds.repeat_window),
             all_work: 0.0,
             long_work: 0.0,
@@ -116,16 +127,17 @@
 impl GatewayMachine {
     /// Creates the machine of a router in `zone`.
     #[must_use]
-    pub const fn new(zone: ZoneName, bounds: GatewayBounds) -> Self {
+    pub fn new(zone: ZoneName, bounds: GatewayBounds) -> Self {
         Self {
             zone,
             endpoints: SortedMap::new(),
-            memory: PrefixMemory::new((DEFAULT_MEMORY as f64 * SHARED_MEMORY_PART) as u64),
+            memory: PrefixMemory::new(SHARED_MEMORY),
             traffic: SortedMap::new(),
             bounds,
+            meter: CustomerMeter::default(),
             requests: SortedMap::new(),
             actions: Vec::new(),
-            swept: ClockTime::from_micros(0),
+            swept: ClockTime::default(),
         }
     }
 
@@ -144,17 +156,9 @@
                 }
             }
         }
-        let gone: Vec<EndpointId> = self
-            .endpoints
-            .keys()
-            .filter(|id| !list.contains_key(id))
-            .cloned()
-            .collect();
-        for id in &gone {
-            self.endpoints.remove(id);
-            self.memory.forget(id);
-        }
-        self.move_waiting(now);
+        self.endpoints.retain(|id, _| list.contains_key(id));
+        self.memory.retain(|id| list.contains_key(id));
+        self.move_stranded(now);
     }
 
     /// Number of usable endpoints of a service.
@@ -177,35 +181,35 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        if request.phase != GatewayPhase::Waiting {
-            self.end(id, AttemptEnd::Abandoned, now);
-            return;
-        }
-        if let Some(state) = self.endpoints.get_mut(&request.plan.endpoint) {
-            state.desk.withdraw(id);
+        let endpoint = request.plan.endpoint.clone();
+        match request.phase {
+            GatewayPhase::Waiting => {
+                if let Some(state) = self.endpoints.get_mut(&endpoint) {
+                    state.desk.withdraw(own_key(id));
+                }
+                self.requests.remove(&id);
+            }
+            GatewayPhase::Asked => {
+                self.tell_desk(&endpoint, DeskMessage::Withdraw(notice(id)), now);
+                self.requests.remove(&id);
+            }
+            GatewayPhase::Running { .. } => {
+                self.end(id, AttemptEnd::Abandoned, now);
+            }
         }
-        self.requests.remove(&id);
     }
 
     /// Notes the first event or whole answer of a request.
     pub fn first_event(&mut self, id: RequestId, now: ClockTime) {
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        request.phase = GatewayPhase::Running { is_read: true };
         let endpoint = request.plan.endpoint.clone();
-        if let GatewayPhase::Running {
-            started,
-            alone: true,
-        } = request.phase
-        {
-            let (service, units) = (request.call.service.clone(), request.plan.units);
-            self.traffic_of(&service)
-                .rate
-                .observe(units, now.since(started));
-        }
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            state.desk.first_event(id, now);
+            state.desk.first_event(own_key(id), now);
             state.health.succeed();
+            self.tell_desk(&endpoint, DeskMessage::FirstEvent(notice(id)), now);
         }
     }
 
@@ -222,7 +226,7 @@
         let mut request = self.requests.remove(&id)?;
         let endpoint = request.plan.endpoint.clone();
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            state.desk.end(id, now);
+            state.desk.end(own_key(id), now);
             state.own = state.own.saturating_sub(1);
             match end {
                 AttemptEnd::Complete => state.health.succeed(),
@@ -233,6 +237,7 @@
                 AttemptEnd::Misdirected => state.is_replaced = true,
                 AttemptEnd::Failed | AttemptEnd::Broken => state.health.fail(now),
             }
+            self.tell_desk(&endpoint, DeskMessage::End(notice(id)), now);
         }
         request.call.tried.push(endpoint);
         Some(request.call)
@@ -270,14 +275,105 @@
         Ok(())
     }
 
+    /// First message to the desk beside an endpoint: its limits and this router's runs there.
+    #[must_use]
+    pub fn desk_hello(
+        &self,
+        endpoint: &EndpointId,
+        host: &str,
+        now: ClockTime,
+    ) -> Option<DeskHello> {
+        let limits = self.endpoints.get(endpoint)?.desk.gate().limits();
+        let runs = self.requests.iter().filter_map(|(id, request)| {
+            let GatewayPhase::Running { is_read } = request.phase else {
+                return None;
+            };
+            let is_there = request.plan.endpoint == *endpoint;
+            is_there.then(|| DeskRun {
+                ask: Some(self.ask_frame(*id, &request.ask, now)),
+                is_read,
+            })
+        });
+        Some(DeskHello {
+            host: host.to_owned(),
+            slots: limits.slots,
+            memory: limits.memory.unwrap_or_default(),
+            pause_ms: limits.pause.as_millis() as u32,
+            runs: runs.collect(),
+        })
+    }
+
+    /// Takes in a message of the desk beside an endpoint; its first one lets it decide.
+    pub fn desk_told(&mut self, endpoint: &EndpointId, message: DeskMessage, now: ClockTime) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        match message {
+            DeskMessage::State(frame) => {
+                let remote = state.remote.get_or_insert_default();
+                remote.heard = now;
+                remote.asked_units = 0.0;
+                remote.state = desk_state(&frame);
+                state.desk.set_rate(remote.state.rate);
+            }
+            DeskMessage::Grant(notice) => {
+                let id = RequestId::new(notice.request);
+                let is_asked = self.requests.get(&id).is_some_and(|request| {
+                    request.phase == GatewayPhase::Asked && request.plan.endpoint == *endpoint
+                });
+                if is_asked {
+                    self.start(id, now);
+                }
+            }
+            DeskMessage::Refuse(frame) => {
+                let id = RequestId::new(frame.request);
+                let asked = self.requests.get(&id);
+                if asked.is_some_and(|request| request.phase == GatewayPhase::Asked) {
+                    self.requests.remove(&id);
+                    let advice = Duration::from_millis(u64::from(frame.come_back_ms));
+                    self.refuse(id, RefusalReason::NoRoomInTime, advice);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that the desk beside an endpoint no longer answers: this router decides for itself.
+    pub fn desk_down(&mut self, endpoint: &EndpointId, now: ClockTime) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        state.remote = None;
+        let asked = self.requests.iter().filter(|(_, request)| {
+            request.phase == GatewayPhase::Asked && request.plan.endpoint == *endpoint
+        });
+        let asked: Vec<RequestId> = asked.map(|(id, _)| *id).collect();
+        for id in asked {
+            if let Some(request) = self.requests.remove(&id) {
+                self.wait(id, request.call, now);
+            }
+        }
+    }
+
+    /// Tells whether a desk beside the endpoint decides.
+    #[must_use]
+    pub fn has_desk(&self, endpoint: &EndpointId) -> bool {
+        let state = self.endpoints.get(endpoint);
+        state.is_some_and(|state| state.remote.is_some())
+    }
+
     /// When something may next be due.
     #[must_use]
     pub fn next_wake(&self) -> Option<ClockTime> {
         let waits = self
             .requests
             .values()
-            .any(|request| request.phase == GatewayPhase::Waiting);
-        waits.then(|| self.swept + SWEEP_INTERVAL)
+            .any(|request| !matches!(request.phase, GatewayPhase::Running { .. }));
+        if waits {
+            return Some(self.swept + SWEEP_INTERVAL);
+        }
+        let remotes = self.endpoints.values().filter_map(|state| state.remote);
+        remotes.map(|remote| remote.told + PING_INTERVAL).min()
     }
 
     /// What is to be done now.
@@ -285,17 +381,12 @@
         if now.since(self.swept) >= SWEEP_INTERVAL {
             self.swept = now;
             self.refuse_overdue(now);
+            self.check_desks(now);
         }
         self.admit(now);
         std::mem::take(&mut self.actions)
     }
 
-    pub(super) fn rate(&self, service: &ServiceName) -> ReadRate {
-        self.traffic
-            .get(service)
-            .map_or_else(ReadRate::default, |traffic| traffic.rate)
-    }
-
     fn traffic_of(&mut self, service: &ServiceName) -> &mut ServiceTraffic {
         let bounds = self.bounds;
         self.traffic
@@ -305,78 +396,142 @@
     /// Places a request and lets it wait there, or refuses it.
     fn wait(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
         let Some(plan) = self.plan(&call, now) else {
-            self.refuse(id, RefusalReason::NoEndpoint, RETRY_AFTER.1);
+            self.refuse(id, RefusalReason::NoEndpoint, NO_ENDPOINT_ADVICE);
             return;
         };
-        let start_in = plan.expected.saturating_sub(plan.work.read);
-        if start_in > start_limit(&call) && call.tried.is_empty() {
-            let advice = start_in.saturating_sub(start_limit(&call) / 2);
-            self.refuse(id, RefusalReason::NoRoomInTime, advice);
-            return;
-        }
         self.traffic_of(&call.service).note_work(&plan);
-        let latest = call.arrived + call.objective.saturating_sub(plan.work.read);
-        let ask = DeskAsk::new(call.customer, latest).work(plan.work, call.cost());
-        if let Some(state) = self.endpoints.get_mut(&plan.endpoint) {
-            state.desk.ask(id, ask);
-        }
+        let ask = build_ask(&call, &plan, now);
+        let frame = self.ask_frame(id, &ask, now);
+        let endpoint = plan.endpoint.clone();
+        let Some(state) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        let phase = match &mut state.remote {
+            Some(remote) => {
+                remote.asked_units += ask.units;
+                GatewayPhase::Asked
+            }
+            None => match state.desk.ask(own_key(id), ask, &self.meter, now) {
+                Ok(()) => GatewayPhase::Waiting,
+                Err(refusal) => {
+                    self.refuse(id, RefusalReason::NoRoomInTime, refusal.come_back);
+                    return;
+                }
+            },
+        };
         let request = GatewayRequest {
             call,
-            phase: GatewayPhase::Waiting,
+            phase,
             since: now,
             plan,
+            ask,
         };
         self.requests.insert(id, request);
+        if phase == GatewayPhase::Asked {
+            self.tell_desk(&endpoint, DeskMessage::Ask(frame), now);
+        }
     }
 
+    /// Lets this router's own desks decide.
     fn admit(&mut self, now: ClockTime) {
-        for (endpoint, state) in self.endpoints.iter_mut() {
-            let mut alone = !state.desk.gate().is_reading();
-            for id in state.desk.admit(now) {
-                let Some(request) = self.requests.get_mut(&id) else {
-                    continue;
-                };
-                request.phase = GatewayPhase::Running {
-                    started: now,
-                    alone,
-                };
-                alone = false;
-                state.own += 1;
-                if let Some(prompt) = &request.call.prompt {
-                    self.memory.note(endpoint, prompt, now);
-                }
-                self.actions.push(GatewayAction::Start {
-                    request: id,
-                    endpoint: endpoint.clone(),
-                    address: state.listed.address,
-                    waited: now.since(request.since),
-                    expected: request.plan.expected,
-                });
+        let mut admitted = Vec::new();
+        for state in self.endpoints.values_mut() {
+            if state.desk.waiting() > 0 {
+                admitted.extend(state.desk.admit(&mut self.meter, now));
             }
         }
+        for (_, id) in admitted {
+            self.start_at(id, now);
+        }
+    }
+
+    /// Starts a request that the desk beside its endpoint granted.
+    fn start(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let ask = request.ask;
+        if let Some(state) = self.endpoints.get_mut(&request.plan.endpoint) {
+            state.desk.adopt(own_key(id), &ask, false, now);
+        }
+        self.meter
+            .charge(ask.customer, OWN_LINK, ask.cost as f64, now);
+        self.start_at(id, now);
+    }
+
+    fn start_at(&mut self, id: RequestId, now: ClockTime) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let endpoint = request.plan.endpoint.clone();
+        let Some(state) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        request.phase = GatewayPhase::Running { is_read: false };
+        state.own += 1;
+        if let Some(prompt) = &request.call.prompt {
+            self.memory.note(&endpoint, prompt, now);
+        }
+        self.actions.push(GatewayAction::Start {
+            request: id,
+            endpoint,
+            address: state.listed.address,
+            waited: now.since(request.since),
+            expected: request.plan.expected,
+        });
     }
 
     /// Refuses requests that waited until they could not be of use.
     fn refuse_overdue(&mut self, now: ClockTime) {
-        let overdue: Vec<RequestId> = self
-            .requests
+        let states = self.endpoints.values_mut();
+        let overdue: Vec<DeskRefusal> = states
+            .flat_map(|state| state.desk.refuse_overdue(now))
+            .collect();
+        for refusal in overdue {
+            let (_, id) = refusal.key;
+            self.requests.remove(&id);
+            self.refuse(id, RefusalReason::NoRoomInTime, refusal.come_back);
+        }
+    }
+
+    /// Gives up desks that owe an answer, and keeps the others from giving up this router.
+    fn check_desks(&mut self, now: ClockTime) {
+        let mut silent: Vec<EndpointId> = Vec::new();
+        for request in self.requests.values() {
+            let is_owed =
+                request.phase == GatewayPhase::Asked && now.since(request.since) > DESK_SILENCE;
+            let state = self.endpoints.get(&request.plan.endpoint);
+            let remote = state.and_then(|state| state.remote);
+            let is_silent = remote.is_none_or(|remote| now.since(remote.heard) > DESK_SILENCE);
+            if is_owed && is_silent && !silent.contains(&request.plan.endpoint) {
+                silent.push(request.plan.endpoint.clone());
+            }
+        }
+        for endpoint in silent {
+            self.desk_down(&endpoint, now);
+            self.actions.push(GatewayAction::CloseDesk(endpoint));
+        }
+        let quiet: Vec<EndpointId> = self
+            .endpoints
             .iter()
-            .filter(|(_, request)| request.phase == GatewayPhase::Waiting)
-            .filter(|(_, request)| now.since(request.since) > start_limit(&request.call))
-            .map(|(id, _)| *id)
+            .filter(|(_, state)| {
+                state
+                    .remote
+                    .is_some_and(|remote| now.since(remote.told) >= PING_INTERVAL)
+            })
+            .map(|(id, _)| id.clone())
             .collect();
-        for id in overdue {
-            self.withdraw(id, now);
-            self.refuse(id, RefusalReason::NoRoomInTime, RETRY_AFTER.0);
+        for endpoint in quiet {
+            self.tell_desk(&endpoint, DeskMessage::Ping(DeskPing {}), now);
         }
     }
 
     /// Places waiting requests again whose endpoint may no longer be used.
-    fn move_waiting(&mut self, now: ClockTime) {
+    fn move_stranded(&mut self, now: ClockTime) {
         let stranded: Vec<RequestId> = self
             .requests
             .iter()
-            .filter(|(_, request)| request.phase == GatewayPhase::Waiting)
+            .filter(|(_, request)| !matches!(request.phase, GatewayPhase::Running { .. }))
             .filter(|(_, request)| {
                 let state = self.endpoints.get(&request.plan.endpoint);
                 state.is_none_or(|state| !state.is_usable())
@@ -384,26 +539,75 @@
             .map(|(id, _)| *id)
             .collect();
         for id in stranded {
-            let Some(request) = self.requests.remove(&id) else {
-                continue;
-            };
-            if let Some(state) = self.endpoints.get_mut(&request.plan.endpoint) {
-                state.desk.withdraw(id);
+            let call = self.requests.get(&id).map(|request| request.call.clone());
+            self.withdraw(id, now);
+            if let Some(call) = call {
+                self.wait(id, call, now);
             }
-            self.wait(id, request.call, now);
         }
     }
 
-    fn refuse(&mut self, request: RequestId, reason: RefusalReason, advice: Duration) {
+    fn tell_desk(&mut self, endpoint: &EndpointId, message: DeskMessage, now: ClockTime) {
+        let state = self.endpoints.get_mut(endpoint);
+        if let Some(remote) = state.and_then(|state| state.remote.as_mut()) {
+            remote.told = now;
+            let endpoint = endpoint.clone();
+            self.actions
+                .push(GatewayAction::TellDesk { endpoint, message });
+        }
+    }
+
+    fn ask_frame(&self, id: RequestId, ask: &DeskAsk, now: ClockTime) -> DeskAskFrame {
+        DeskAskFrame {
+            request: id.get(),
+            customer: ask.customer.get(),
+            units: ask.units as f32,
+            memory: ask.memory,
+            cost: ask.cost,
+            latest_ms: ask.latest.since(now).as_millis() as u32,
+            until_ms: ask.until.since(now).as_millis() as u32,
+            received: self.meter.received(ask.customer, now) as f32,
+        }
+    }
+
+    fn refuse(&mut self, request: RequestId, reason: RefusalReason, retry_after: Duration) {
         self.actions.push(GatewayAction::Refuse {
             request,
             reason,
-            retry_after: advice.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+            retry_after,
         });
     }
 }
 
-/// Longest wait after which a start is still of use.
-fn start_limit(call: &GatewayCall) -> Duration {
-    call.objective.mul_f64(START_PART)
+fn build_ask(call: &GatewayCall, plan: &PlacePlan, now: ClockTime) -> DeskAsk {
+    // A request that was tried before may start late: it is worth less, but nothing if refused.
+    let since = if call.tried.is_empty() {
+        call.arrived
+    } else {
+        now
+    };
+    let until = since + call.objective.mul_f64(START_PART);
+    let latest = call.arrived + call.objective.saturating_sub(plan.read);
+    let memory = call.prompt.as_ref().map_or(0, |prompt| {
+        u64::from(prompt.tokens()) + u64::from(prompt.expected_output())
+    });
+    DeskAsk::new(call.customer, until.min(call.deadline))
+        .work(plan.units, memory, call.cost())
+        .latest(latest)
+}
+
+fn desk_state(frame: &DeskStateFrame) -> DeskState {
+    DeskState {
+        wait: Duration::from_millis(u64::from(frame.wait_ms)),
+        rate: ReadRate::from_tokens_per_milli(f64::from(frame.rate)),
+        running: frame.running,
+    }
+}
+
+const fn own_key(id: RequestId) -> RunKey {
+    (OWN_LINK, id)
+}
+
+const fn notice(id: RequestId) -> DeskNotice {
+    DeskNotice { request: id.get() }
 }
--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
 use super::call::GatewayCall;
+use super::endpoint_state::EndpointState;
 use super::machine::GatewayMachine;
-use crate::desk::ReadWork;
 use crate::id::EndpointId;
-use crate::place::{ReadRate, home_rank, home_score};
+use crate::place::{ReadRate, home_score};
 use crate::serving::PromptShape;
 use crate::time::ClockTime;
 
@@ -12,166 +12,170 @@
 /// and the price of the bytes.
 const FAR_COST: Duration = Duration::from_millis(6);
 
-/// How much more a token counts that is read again although another endpoint keeps it.
+/// How much more a token counts that is read although another endpoint keeps it.
+///
+/// Reading it again delays every stream there and pushes other kept parts out of memory.
 const REREAD_WEIGHT: f64 = 5.0;
 
 /// Expected service time of an application request, for choosing between queues.
 const APPLICATION_TIME: Duration = Duration::from_millis(30);
 
-/// Part of a service's endpoints that takes prompts too long for a burst, over their part of the
-/// reading.
+/// Part of a service's endpoints that takes long prompts, over their part of the reading.
 const LONG_PROMPT_FACTOR: f64 = 0.8;
 
+/// Subject under which endpoints are ranked for long prompts.
+const LONG_PROMPT_SUBJECT: u64 = 0x6c6f_6e67;
+
 /// Reading beyond which a prompt is long, as part of the longest pause of the streams beside it.
 const LONG_PART: f64 = 0.6;
 
 /// Longest pause assumed of routes that tell none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
 
-/// Subject under which endpoints are ranked for long prompts.
-const LONG_PROMPT_SUBJECT: u64 = 0x6c6f_6e67;
-
-/// Added at endpoints for long prompts while one is being read there, as part of its reading.
+/// Added at endpoints that are for prompts of the other size.
 const STALL_PENALTY: Duration = Duration::from_millis(250);
 
 /// Where a request would go, and what it would meet.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct PlacePlan {
     pub(super) endpoint: EndpointId,
-    pub(super) work: ReadWork,
-    /// Reading in tokens without context, for learning the rate.
+    /// Reading in tokens without context.
     pub(super) units: f64,
+    /// Time that the reading takes there.
+    pub(super) read: Duration,
     /// Expected time to the first event.
     pub(super) expected: Duration,
     pub(super) is_long: bool,
 }
 
+/// The prompt of a call, weighed once for all endpoints.
+struct PromptWeight<'a> {
+    prompt: &'a PromptShape,
+    /// Reading where every shared part is kept.
+    least: f64,
+    is_long: bool,
+    /// The endpoint to which the last shared part belongs.
+    home: Option<&'a EndpointId>,
+    /// Endpoints for long prompts.
+    long_homes: Vec<&'a EndpointId>,
+}
+
+type Candidate<'a> = (&'a EndpointId, &'a EndpointState);
+
 impl GatewayMachine {
     /// Chooses the endpoint with the least expected time, endpoints already tried left out.
     pub(super) fn plan(&self, call: &GatewayCall, now: ClockTime) -> Option<PlacePlan> {
         let usable = self.endpoints.iter().filter(|(id, state)| {
             state.listed.service == call.service && state.is_usable() && !call.tried.contains(*id)
         });
-        let usable: Vec<_> = usable.collect();
-        let trusted = usable
-            .iter()
-            .filter(|(_, state)| !state.is_suspect(now))
-            .count();
-        let candidates = usable
-            .iter()
-            .filter(|(_, state)| trusted == 0 || !state.is_suspect(now));
-        let ids: Vec<&EndpointId> = candidates.clone().map(|(id, _)| *id).collect();
-        let long_homes = self.long_homes(call, &ids);
-        let is_long_home =
-            |id: &EndpointId| home_rank(LONG_PROMPT_SUBJECT, id, ids.iter().copied()) < long_homes;
-        let is_long = self.is_long(call);
-        let own: Vec<&EndpointId> = ids
-            .iter()
-            .copied()
-            .filter(|id| is_long_home(id) == is_long)
-            .collect();
-        let home = call.prompt.as_ref().and_then(|prompt| home(prompt, &own));
-        let plans = candidates.map(|(id, state)| {
-            let mut plan = self.plan_at(call, id, home == Some(*id), now);
-            let mut weight = plan.expected;
-            if state.listed.zone != self.zone {
-                weight += FAR_COST;
-            }
-            weight += plan.reread(call, self);
-            let is_long_home = home_rank(LONG_PROMPT_SUBJECT, id, ids.iter().copied()) < long_homes;
-            if plan.is_long != is_long_home && call.prompt.is_some() {
-                weight += STALL_PENALTY;
-            }
-            plan.expected = plan.expected.max(Duration::from_millis(1));
-            (weight, plan)
+        let mut candidates: Vec<Candidate<'_>> = usable.collect();
+        if candidates.iter().any(|(_, state)| !state.is_suspect(now)) {
+            candidates.retain(|(_, state)| !state.is_suspect(now));
+        }
+        let weight = call.prompt.as_ref();
+        let weight = weight.map(|prompt| self.weigh(call, prompt, &candidates));
+        let plans = candidates.iter().map(|(id, state)| match &weight {
+            Some(weight) => self.plan_prompt(id, state, weight, now),
+            None => plan_application(id, state),
         });
-        plans
-            .min_by_key(|(weight, _)| *weight)
-            .map(|(_, plan)| plan)
+        let far = |plan: &PlacePlan| {
+            let state = self.endpoints.get(&plan.endpoint);
+            state.is_some_and(|state| state.listed.zone != self.zone)
+        };
+        let plans = plans.map(|(cost, plan)| {
+            let cost = if far(&plan) { cost + FAR_COST } else { cost };
+            (cost, plan)
+        });
+        plans.min_by_key(|(cost, _)| *cost).map(|(_, plan)| plan)
     }
 
-    fn plan_at(
+    fn weigh<'a>(
         &self,
         call: &GatewayCall,
+        prompt: &'a PromptShape,
+        candidates: &[Candidate<'a>],
+    ) -> PromptWeight<'a> {
+        let least = ReadRate::work(prompt, prompt.tokens() - prompt.own_tokens());
+        let rates = candidates
+            .iter()
+            .map(|(_, state)| state.rate().tokens_per_milli());
+        let mean = rates.sum::<f64>() / candidates.len().max(1) as f64;
+        let pause = call.pause.unwrap_or(DEFAULT_PAUSE);
+        let read = ReadRate::from_tokens_per_milli(mean).time(least);
+        let is_long = read > pause.mul_f64(LONG_PART);
+        let mut ranked: Vec<&EndpointId> = candidates.iter().map(|(id, _)| *id).collect();
+        ranked.sort_by_key(|id| std::cmp::Reverse(home_score(LONG_PROMPT_SUBJECT, id)));
+        let count = self.long_homes(call, ranked.len());
+        let short_homes = ranked.split_off(count.min(ranked.len()));
+        let subject = prompt.shared().last().map(|part| part.id);
+        let homes = if is_long { &ranked } else { &short_homes };
+        let home = subject.and_then(|subject| {
+            homes
+                .iter()
+                .copied()
+                .max_by_key(|id| home_score(subject, id))
+        });
+        PromptWeight {
+            prompt,
+            least,
+            is_long,
+            home,
+            long_homes: ranked,
+        }
+    }
+
+    fn plan_prompt(
+        &self,
         id: &EndpointId,
-        is_home: bool,
+        state: &EndpointState,
+        weight: &PromptWeight<'_>,
         now: ClockTime,
-    ) -> PlacePlan {
-        let (mut work, mut units) = (ReadWork::default(), 0.0);
-        let state = self.endpoints.get(id);
-        let Some(prompt) = &call.prompt else {
-            let queued = state.map_or(0, |state| {
-                state.desk.waiting() + state.desk.gate().running()
-            });
-            let slots = state.map_or(1, |state| state.listed.slots.max(1));
-            let rounds = 1.0 + queued as f64 / f64::from(slots);
-            return PlacePlan {
-                endpoint: id.clone(),
-                work,
-                units,
-                expected: APPLICATION_TIME.mul_f64(rounds),
-                is_long: false,
-            };
-        };
-        let kept = if is_home {
-            prompt.tokens() - prompt.own_tokens()
+    ) -> (Duration, PlacePlan) {
+        let units = if weight.home == Some(id) {
+            weight.least
         } else {
-            self.memory.kept(id, prompt)
+            ReadRate::work(weight.prompt, self.memory.kept(id, weight.prompt))
         };
-        units += ReadRate::work(prompt, kept);
-        let rate = self.rate(&call.service);
-        work.read = rate.time(units);
-        work.memory = u64::from(prompt.tokens()) + u64::from(prompt.expected_output());
-        let wait = state.map_or(Duration::ZERO, |state| state.desk.expected_wait(now));
-        let burst = state.map_or(Duration::ZERO, |state| state.desk.gate().limits().burst());
-        PlacePlan {
+        let rate = state.rate();
+        let read = rate.time(units);
+        let expected = state.expected_wait(now) + read;
+        let mut cost = expected + rate.time((units - weight.least).max(0.0) * REREAD_WEIGHT);
+        if weight.is_long != weight.long_homes.contains(&id) {
+            cost += STALL_PENALTY;
+        }
+        let plan = PlacePlan {
             endpoint: id.clone(),
-            work,
             units,
-            expected: wait + work.read,
-            is_long: self.is_long(call),
-        }
-    }
-
-    /// Tells whether reading a prompt's own part alone outlasts a burst.
-    fn is_long(&self, call: &GatewayCall) -> bool {
-        let Some(prompt) = &call.prompt else {
-            return false;
+            read,
+            expected,
+            is_long: weight.is_long,
         };
-        let kept = prompt.tokens() - prompt.own_tokens();
-        let read = self.rate(&call.service).time(ReadRate::work(prompt, kept));
-        read > call.pause.unwrap_or(DEFAULT_PAUSE).mul_f64(LONG_PART)
+        (cost, plan)
     }
 
-    /// Number of endpoints that take prompts too long for a burst.
-    fn long_homes(&self, call: &GatewayCall, ids: &[&EndpointId]) -> usize {
-        let Some(traffic) = self.traffic.get(&call.service) else {
-            return 0;
-        };
-        let part = traffic.long_part() * LONG_PROMPT_FACTOR;
-        let homes = (ids.len() as f64 * part).round() as usize;
-        if part > 0.0 {
-            homes.clamp(1, ids.len().div_ceil(2))
+    /// Number of endpoints among `count` that take long prompts.
+    fn long_homes(&self, call: &GatewayCall, count: usize) -> usize {
+        let traffic = self.traffic.get(&call.service);
+        let part = traffic.map_or(0.0, |traffic| traffic.long_part() * LONG_PROMPT_FACTOR);
+        let homes = (count as f64 * part).round() as usize;
+        if part > 0.0 && count > 1 {
+            homes.clamp(1, count / 2)
         } else {
             0
         }
     }
 }
 
-impl PlacePlan {
-    /// Weight of reading shared parts here that are kept elsewhere.
-    fn reread(&self, call: &GatewayCall, machine: &GatewayMachine) -> Duration {
-        let Some(prompt) = &call.prompt else {
-            return Duration::ZERO;
-        };
-        let rate = machine.rate(&call.service);
-        let least = ReadRate::work(prompt, prompt.tokens() - prompt.own_tokens());
-        rate.time((self.units - least).max(0.0) * REREAD_WEIGHT)
-    }
-}
-
-/// The home of a prompt: the endpoint to which its last shared part belongs.
-fn home<'a>(prompt: &PromptShape, ids: &[&'a EndpointId]) -> Option<&'a EndpointId> {
-    let subject = prompt.shared().last()?.id;
-    ids.iter().copied().max_by_key(|id| home_score(subject, id))
+fn plan_application(id: &EndpointId, state: &EndpointState) -> (Duration, PlacePlan) {
+    let queued = state.desk.waiting() + state.desk.gate().running();
+    let rounds = 1.0 + queued as f64 / f64::from(state.listed.slots.max(1));
+    let expected = APPLICATION_TIME.mul_f64(rounds);
+    let plan = PlacePlan {
+        endpoint: id.clone(),
+        units: 0.0,
+        read: Duration::ZERO,
+        expected,
+        is_long: false,
+    };
+    (expected, plan)
 }
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod control;
+mod desk;
 mod envelope;
 mod work;
 
@@ -22,6 +23,10 @@
     BidLine, BidUpdate, DocumentMessage, FetchDocument, Hello, LeavingNotice, Ping, Proof,
     TotalLine, TotalsReport, ViewWord,
 };
+pub use desk::{
+    DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage, DeskNotice, DeskPing, DeskRefusalFrame,
+    DeskRun, DeskStateFrame,
+};
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
     AnswerChunk, AnswerEnd, AnswerHead, CancelWork, ClaimKey, ClaimReply, Decline, GrantOffer,
--- a/crates/cicadalock-core/src/place/mod.rs
+++ b/crates/cicadalock-core/src/place/mod.rs
@@ -29,4 +29,4 @@
 pub use endpoint_health::EndpointHealth;
 pub use prefix_memory::PrefixMemory;
 pub use read_rate::ReadRate;
-pub use rendezvous::{home_rank, home_score};
+pub use rendezvous::home_score;
--- a/crates/cicadalock-core/src/place/prefix_memory.rs
+++ b/crates/cicadalock-core/src/place/prefix_memory.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Forgets the endpoints for which `is_kept` returns false.
+    pub fn retain(&mut self, is_kept: impl Fn(&EndpointId) -> bool) {
+        self.endpoints.retain(|endpoint, _| is_kept(endpoint));
+    }
+
     /// Forgets what an endpoint keeps.
     pub fn forget(&mut self, endpoint: &EndpointId) {
         self.endpoints.remove(endpoint);
--- a/crates/cicadalock-core/src/place/read_rate.rs
+++ b/crates/cicadalock-core/src/place/read_rate.rs
@@ -26,6 +26,25 @@
 }
 
 impl ReadRate {
+    /// A rate of so many tokens a millisecond, kept within what is plausible.
+    #[must_use]
+    pub fn from_tokens_per_milli(per_milli: f64) -> Self {
+        let per_milli = if per_milli.is_finite() {
+            per_milli
+        } else {
+            PRIOR_RATE
+        };
+        Self {
+            per_milli: per_milli.clamp(RATE_RANGE.0, RATE_RANGE.1),
+        }
+    }
+
+    /// Tokens a millisecond.
+    #[must_use]
+    pub const fn tokens_per_milli(&self) -> f64 {
+        self.per_milli
+    }
+
     /// Work to read a prompt of which `kept` tokens need not be read, in tokens without context.
     #[must_use]
     pub fn work(prompt: &PromptShape, kept: u32) -> f64 {
--- a/crates/cicadalock-node/src/cli/flags.rs
+++ b/crates/cicadalock-node/src/cli/flags.rs
@@ -11,6 +11,8 @@
         }
         /// Run a router that calls endpoints itself, on the platform that the environment names.
         cmd gateway {}
+        /// Run the desk beside a model endpoint: decide whose request starts there next.
+        cmd desk {}
         /// Run a sidecar: call one endpoint for the routers of the fleet.
         cmd sidecar {
             /// TOML file with the settings of this process.
--- a/crates/cicadalock-node/src/cli/run.rs
+++ b/crates/cicadalock-node/src/cli/run.rs
@@ -5,6 +5,7 @@
 use super::daemon::{run_router, run_sidecar};
 use super::flags::{Cicadalock, CicadalockCmd, Status};
 use crate::admin::{fetch_status, render_status};
+use crate::desk::{DeskError, run_desk};
 use crate::gateway::{GatewayDialect, GatewayError, run_gateway};
 use crate::settings::{RouterSettings, SettingsError, SidecarSettings};
 
@@ -50,6 +51,7 @@
             daemon(SidecarSettings::load(&flags.settings), run_sidecar)
         }
         CicadalockCmd::Gateway(_) => gateway::<D>(),
+        CicadalockCmd::Desk(_) => desk::<D>(),
         CicadalockCmd::Check(flags) => check(&flags),
         CicadalockCmd::Bundle(flags) => bundle(&flags),
         CicadalockCmd::Status(flags) => status(&flags),
@@ -102,6 +104,20 @@
     }
 }
 
+fn desk<D: GatewayDialect>() -> ExitStatus {
+    match run_desk::<D>() {
+        Ok(()) => ExitStatus::Fine,
+        Err(error @ DeskError::Settings { .. }) => {
+            eprintln!("{error}");
+            ExitStatus::Findings
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitStatus::Failure
+        }
+    }
+}
+
 fn status(flags: &Status) -> ExitStatus {
     match fetch_status(flags.address) {
         Ok(status) if flags.json => {
--- /dev/null
+++ b/crates/cicadalock-node/src/desk/desk_daemon.rs
@@ -0,0 +1,322 @@
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cicadalock_core::collect::SortedMap;
+use cicadalock_core::desk::{DeskAction, DeskMachine};
+use cicadalock_core::id::LinkId;
+use cicadalock_core::message::DeskMessage;
+use cicadalock_core::time::ClockTime;
+use futures_util::{SinkExt, StreamExt};
+use serde_json::json;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, LocalSet};
+use tokio_util::codec::Framed;
+
+use super::desk_codec::{DeskCodec, prepare_link};
+use super::desk_settings::DeskSettings;
+use crate::clock::ProcessClock;
+use crate::events::EventLog;
+use crate::gateway::GatewayDialect;
+
+/// Messages that may wait for one router; one that takes none is cut off.
+const OUTBOX_CAPACITY: usize = 1_024;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a desk could not run.
+#[derive(Debug, Snafu)]
+pub enum DeskError {
+    /// There are no usable settings.
+    #[snafu(display("cannot use the settings: {problem}"))]
+    Settings {
+        /// What is wrong.
+        problem: String,
+    },
+    /// The address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A thread or a socket cannot be had.
+    #[snafu(context(false), display("{source}"))]
+    System {
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// What every task of a desk's runtime shares.
+struct DeskShared {
+    machine: RefCell<DeskMachine>,
+    links: RefCell<SortedMap<LinkId, LinkSeat>>,
+    log: EventLog,
+    clock: ProcessClock,
+    wake: Notify,
+    next_link: Cell<u64>,
+}
+
+struct LinkSeat {
+    router: String,
+    outbox: mpsc::Sender<DeskMessage>,
+    task: Option<AbortHandle>,
+}
+
+/// Runs the desk of one endpoint until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings cannot be used, or the address or a thread cannot be had.
+pub fn run_desk<D: GatewayDialect>() -> Result<(), DeskError> {
+    let settings = D::load_desk_settings().map_err(|error| DeskError::Settings {
+        problem: error.to_string(),
+    })?;
+    let (log, sink) = EventLog::start(io::stdout())?;
+    log.write(
+        "start-process",
+        json!({"host": settings.host.as_str(), "listen": settings.listen.to_string(), "version": env!("CARGO_PKG_VERSION")}),
+    );
+    let result = run(&settings, log.clone());
+    let problem = result.as_ref().err().map(ToString::to_string);
+    log.write("stop-process", json!({"problem": problem}));
+    drop(log);
+    sink.join();
+    result
+}
+
+fn run(settings: &DeskSettings, log: EventLog) -> Result<(), DeskError> {
+    let address = settings.listen;
+    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+    listener.set_nonblocking(true)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let handle = signals.handle();
+    let (stop, stopped) = flume::bounded(1);
+    let waiter = std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            // A change of settings concerns addresses only, which a restart takes in.
+            let mut signals = signals.forever().filter(|signal| *signal != SIGHUP);
+            // The runtime may have ended by itself.
+            let _ = signals.next().map(|_| stop.send(()));
+        })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let shared = Rc::new(DeskShared {
+        machine: RefCell::new(DeskMachine::new()),
+        links: RefCell::new(SortedMap::new()),
+        log,
+        clock: ProcessClock::start(),
+        wake: Notify::new(),
+        next_link: Cell::new(1),
+    });
+    let local = LocalSet::new();
+    let result = runtime.block_on(local.run_until(async {
+        let listener = TcpListener::from_std(listener)?;
+        tokio::select! {
+            () = accept_all(&shared, listener) => {}
+            () = keep_time(&shared) => {}
+            _ = stopped.recv_async() => {}
+        }
+        Ok::<(), io::Error>(())
+    }));
+    drop(local);
+    handle.close();
+    // A thread that panicked has ended, too.
+    let _ = waiter.join();
+    Ok(result?)
+}
+
+async fn accept_all(shared: &Rc<DeskShared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let link = LinkId::new(shared.next_link.get());
+                shared.next_link.set(link.get() + 1);
+                let (outbox, ring) = mpsc::channel(OUTBOX_CAPACITY);
+                let seat = LinkSeat {
+                    router: peer.ip().to_string(),
+                    outbox,
+                    task: None,
+                };
+                shared.links.borrow_mut().insert(link, seat);
+                let task =
+                    tokio::task::spawn_local(converse(Rc::clone(shared), stream, link, ring));
+                if let Some(seat) = shared.links.borrow_mut().get_mut(&link) {
+                    seat.task = Some(task.abort_handle());
+                }
+            }
+            Err(error) => {
+                shared
+                    .log
+                    .write("accept-failed", json!({"problem": error.to_string()}));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the connection of one router.
+async fn converse(
+    shared: Rc<DeskShared>,
+    stream: TcpStream,
+    link: LinkId,
+    mut ring: mpsc::Receiver<DeskMessage>,
+) {
+    prepare_link(&stream);
+    let mut frames = Framed::new(stream, DeskCodec::new());
+    let problem = loop {
+        tokio::select! {
+            frame = frames.next() => match frame {
+                Some(Ok(Some(message))) => shared.receive(link, message),
+                // A newer router may say what this one does not know.
+                Some(Ok(None)) => {}
+                Some(Err(error)) => break Some(error.to_string()),
+                None => break None,
+            },
+            message = ring.recv() => {
+                let Some(message) = message else {
+                    break Some("cut off".to_owned());
+                };
+                if let Err(error) = send_all(&mut frames, message, &mut ring).await {
+                    break Some(error.to_string());
+                }
+            }
+        }
+    };
+    shared.lose(link, problem);
+}
+
+/// Sends a message and those that wait behind it in one write.
+async fn send_all(
+    frames: &mut Framed<TcpStream, DeskCodec>,
+    first: DeskMessage,
+    ring: &mut mpsc::Receiver<DeskMessage>,
+) -> io::Result<()> {
+    frames.feed(first).await?;
+    while let Ok(message) = ring.try_recv() {
+        frames.feed(message).await?;
+    }
+    frames.flush().await
+}
+
+async fn keep_time(shared: &Rc<DeskShared>) {
+    loop {
+        let due = shared.machine.borrow().next_wake();
+        match due {
+            Some(due) => {
+                let pause = due.since(shared.now()).max(Duration::from_millis(1));
+                tokio::select! {
+                    () = tokio::time::sleep(pause) => shared.drive(),
+                    // Something else may be due earlier now.
+                    () = shared.wake.notified() => {}
+                }
+            }
+            None => shared.wake.notified().await,
+        }
+    }
+}
+
+impl DeskShared {
+    fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    fn receive(&self, link: LinkId, message: DeskMessage) {
+        if let DeskMessage::Hello(hello) = &message {
+            let mut links = self.links.borrow_mut();
+            if let Some(seat) = links.get_mut(&link) {
+                seat.router.clone_from(&hello.host);
+            }
+            self.log.write(
+                "router-connected",
+                json!({"router": hello.host, "runs": hello.runs.len(), "slots": hello.slots, "memory": hello.memory}),
+            );
+        }
+        let now = self.now();
+        self.machine.borrow_mut().receive(link, message, now);
+        self.drive();
+    }
+
+    fn lose(&self, link: LinkId, problem: Option<String>) {
+        let seat = self.links.borrow_mut().remove(&link);
+        if let Some(seat) = seat {
+            self.log.write(
+                "router-lost",
+                json!({"router": seat.router, "problem": problem}),
+            );
+        }
+        let now = self.now();
+        self.machine.borrow_mut().link_down(link, now);
+        self.drive();
+    }
+
+    /// Carries out what the machine decided.
+    fn drive(&self) {
+        let now = self.now();
+        let (actions, state) = {
+            let mut machine = self.machine.borrow_mut();
+            (machine.take_actions(now), machine.desk().state(now))
+        };
+        for action in actions {
+            match action {
+                DeskAction::Send(link, message) => {
+                    self.log_decision(link, &message, state.wait, state.running);
+                    let is_sent = self
+                        .links
+                        .borrow()
+                        .get(&link)
+                        .is_some_and(|seat| seat.outbox.try_send(message).is_ok());
+                    if !is_sent {
+                        self.close(link);
+                    }
+                }
+                DeskAction::Close(link) => self.close(link),
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    fn close(&self, link: LinkId) {
+        let seat = self.links.borrow_mut().remove(&link);
+        if let Some(seat) = seat {
+            self.log.write(
+                "router-lost",
+                json!({"router": seat.router, "problem": "silent or slow"}),
+            );
+            if let Some(task) = seat.task {
+                task.abort();
+            }
+        }
+    }
+
+    fn log_decision(&self, link: LinkId, message: &DeskMessage, wait: Duration, running: u32) {
+        let (event, number, come_back) = match message {
+            DeskMessage::Grant(notice) => ("grant", notice.request, None),
+            DeskMessage::Refuse(frame) => ("refuse", frame.request, Some(frame.come_back_ms)),
+            _ => return,
+        };
+        let links = self.links.borrow();
+        let router = links.get(&link).map(|seat| seat.router.as_str());
+        self.log.write(
+            event,
+            json!({
+                "router": router,
+                "number": number,
+                "come_back_ms": come_back,
+                "wait_ms": wait.as_millis() as u64,
+                "running": running,
+            }),
+        );
+    }
+}
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -230,6 +230,7 @@
     for task in [time, balancer, news] {
         task.abort();
     }
+    shared.desks.end();
 }
 
 fn take_news(shared: &Rc<GatewayShared>, news: FollowerNews) {
--- a/crates/cicadalock-node/src/gateway/dialect.rs
+++ b/crates/cicadalock-node/src/gateway/dialect.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 
 use super::GatewaySettings;
+use crate::desk::DeskSettings;
 
 /// The names and formats of a platform: it translates and decides nothing.
 pub trait GatewayDialect: Send + Sync + 'static {
@@ -22,6 +23,13 @@
     /// Fails if there are none, or they cannot be used.
     fn load_settings() -> Result<GatewaySettings, Self::SettingsError>;
 
+    /// Reads the settings of the process beside an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are none, or they cannot be used.
+    fn load_desk_settings() -> Result<DeskSettings, Self::SettingsError>;
+
     /// Opens the store that the settings name.
     fn open_store(settings: &GatewaySettings) -> Self::Store;
 
--- a/crates/cicadalock-node/src/gateway/gateway_settings.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_settings.rs
@@ -19,6 +19,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Port of the desk on an endpoint's host.
+    pub desk_port: u16,
     /// Greatest number of open files and connections.
     pub descriptors: usize,
     /// Times that bound what is done.
@@ -61,6 +63,7 @@
                 ready: unset,
                 metrics: unset,
                 store: unset,
+                desk_port: 0,
                 descriptors: 1_024,
                 times: GatewayTimes {
                     revocation: Duration::from_secs(5),
@@ -101,6 +104,13 @@
         self
     }
 
+    /// Sets the port of the desk on an endpoint's host.
+    #[must_use]
+    pub const fn desk_port(mut self, port: u16) -> Self {
+        self.settings.desk_port = port;
+        self
+    }
+
     /// Sets the greatest number of open files and connections.
     #[must_use]
     pub const fn descriptors(mut self, descriptors: usize) -> Self {
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod connection_pool;
 mod daemon;
+mod desk_links;
 mod dialect;
 mod event_cut;
 mod gateway_metrics;
--- a/crates/cicadalock-node/src/gateway/request_guard.rs
+++ b/crates/cicadalock-node/src/gateway/request_guard.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Number of the request in this process.
+    pub(super) const fn number(&self) -> u64 {
+        self.id.get()
+    }
+
     /// Waits for the machine's verdict.
     pub(super) async fn verdict(&mut self) -> Option<StartVerdict> {
         let GuardPhase::Waiting(receiver) = &mut self.phase else {
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -216,7 +216,7 @@
                 Ok(None) => return self.refuse(self.unserved("stopping", SOON)),
                 Err(_) => return self.refuse(self.unserved("timeout-before-start", SOON)),
             };
-            self.log_start(&order);
+            self.log_start(&order, guard.number());
             let (failure, answer) = match self.try_endpoint::<D>(&order, &mut guard).await {
                 Progress::Answered(response) => return response,
                 Progress::Failed(failure, answer) => (failure, answer),
@@ -345,12 +345,13 @@
         refuse(&self.shared, &self.request.number, refusal, self.arrived)
     }
 
-    fn log_start(&self, order: &StartOrder) {
+    fn log_start(&self, order: &StartOrder, number: u64) {
         self.shared.metrics.wait.observe(order.waited.as_secs_f64());
         self.shared.log.write(
             "start",
             json!({
                 "request": self.request.number,
+                "number": number,
                 "route": &*self.route.name,
                 "config": self.config_version,
                 "age_ms": self.shared.knowledge_age().map(|age| age.as_millis() as u64),
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -7,11 +7,14 @@
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::gateway::{AttemptEnd, GatewayAction, GatewayMachine, RefusalReason};
 use cicadalock_core::id::{EndpointId, RequestId};
+use cicadalock_core::message::DeskMessage;
 use cicadalock_core::serving::{KnowledgeAge, ServingConfig};
 use cicadalock_core::time::ClockTime;
+use serde_json::json;
 use tokio::sync::{Notify, oneshot};
 
 use super::connection_pool::ConnectionPool;
+use super::desk_links::DeskLinks;
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_settings::GatewaySettings;
 use super::store_follower::FollowerNews;
@@ -50,6 +53,7 @@
     pub(super) config: RefCell<Option<Arc<ServingConfig>>>,
     pub(super) age: Cell<KnowledgeAge>,
     pub(super) pool: ConnectionPool,
+    pub(super) desks: DeskLinks,
     pub(super) is_stopping: Cell<bool>,
     waiters: RefCell<SortedMap<RequestId, oneshot::Sender<StartVerdict>>>,
     wake: Notify,
@@ -68,6 +72,7 @@
             config: RefCell::new(None),
             age: Cell::new(KnowledgeAge::default()),
             pool: ConnectionPool::default(),
+            desks: DeskLinks::default(),
             is_stopping: Cell::new(false),
             waiters: RefCell::new(SortedMap::new()),
             wake: Notify::new(),
@@ -142,8 +147,17 @@
         }
     }
 
+    /// Takes in a message of the desk beside an endpoint.
+    pub(super) fn desk_told(&self, endpoint: &EndpointId, message: Option<DeskMessage>) {
+        if let Some(message) = message {
+            let now = self.now();
+            self.machine.borrow_mut().desk_told(endpoint, message, now);
+            self.drive();
+        }
+    }
+
     /// Takes in what a read of the store changed.
-    pub(super) fn take_news(&self, news: FollowerNews) {
+    pub(super) fn take_news(self: &Rc<Self>, news: FollowerNews) {
         if let Some(config) = news.config {
             *self.config.borrow_mut() = Some(config);
         }
@@ -157,14 +171,36 @@
         {
             let mut machine = self.machine.borrow_mut();
             machine.set_endpoints(&list, config, self.now());
+            drop(machine);
             self.pool
                 .sweep(self.now(), |endpoint| list.contains_key(endpoint));
+            let port = self.settings.borrow().desk_port;
+            let engines = list.iter().filter(|(_, listed)| {
+                let traits = config.service(&listed.service);
+                traits.is_some_and(|traits| traits.engine_slots.is_some())
+            });
+            let desks = engines
+                .map(|(id, listed)| (id.clone(), SocketAddr::new(listed.address.ip(), port)));
+            self.desks.set_targets(self, &desks.collect());
         }
         self.drive();
     }
 
     fn carry_out(&self, action: GatewayAction) {
         let (id, verdict) = match action {
+            GatewayAction::TellDesk { endpoint, message } => {
+                if !self.desks.send(&endpoint, message) {
+                    let now = self.now();
+                    self.machine.borrow_mut().desk_down(&endpoint, now);
+                }
+                return;
+            }
+            GatewayAction::CloseDesk(endpoint) => {
+                self.log
+                    .write("desk-silent", json!({"endpoint": endpoint.as_str()}));
+                self.desks.close(&endpoint);
+                return;
+            }
             GatewayAction::Start {
                 request,
                 endpoint,
--- a/crates/cicadalock-node/src/lib.rs
+++ b/crates/cicadalock-node/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`callers`] | the callers' HTTP port of a router |
 //! | [`endpoint`] | calls of a sidecar's endpoint |
 //! | [`gateway`] | a router that calls endpoints itself, in the words of another platform |
+//! | [`desk`] | the process beside an endpoint that decides whose request starts there |
 //! | [`events`] | structured log lines |
 //! | [`fetch`] | reads of documents over HTTP |
 //! | [`admin`] | the status port |
@@ -22,6 +23,7 @@
 pub mod callers;
 pub mod cli;
 pub mod clock;
+pub mod desk;
 pub mod endpoint;
 pub mod events;
 pub mod fetch;
