fix(desk): an endpoint with nothing running takes the next request at once

Cause: the new property test found an idle engine whose reading allowance was still in debt from prompts that had ended early, so work waited while capacity idled. Seen to fail: desk.rs a_desk_keeps_its_bounds_over_any_history, four asks of 11,201 to 38,401 units.

--- a/crates/cicadalock-core/src/desk/engine_gate.rs
+++ b/crates/cicadalock-core/src/desk/engine_gate.rs
@@ -142,8 +142,12 @@
         let Some(memory) = self.limits.memory else {
             return true;
         };
+        if self.running() == 0 {
+            // There is no stream whose pauses could grow.
+            return true;
+        }
         let held: u64 = self.runs.values().map(|run| run.work.memory).sum();
-        if !self.runs.is_empty() && (held + work.memory) as f64 > memory as f64 * MEMORY_PART {
+        if (held + work.memory) as f64 > memory as f64 * MEMORY_PART {
             return false;
         }
         let burst = self.limits.burst();
--- /dev/null
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -0,0 +1,533 @@
+//! The decisions of a router that calls endpoints itself.
+
+mod support;
+
+use std::time::Duration;
+
+use cicadalock_core::collect::SortedMap;
+use cicadalock_core::gateway::{
+    AttemptEnd, GatewayAction, GatewayBounds, GatewayCall, GatewayMachine, RefusalReason,
+    RepeatDenial,
+};
+use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
+use cicadalock_core::message::{DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame};
+use cicadalock_core::retry::RepeatBudget;
+use cicadalock_core::serving::{
+    EndpointList, ListedEndpoint, PromptShape, ServiceTraits, ServingConfig,
+};
+use cicadalock_core::time::ClockTime;
+use proptest::prelude::*;
+use support::seeded;
+
+const BOUNDS: GatewayBounds = GatewayBounds {
+    repeat_ratio: 0.2,
+    repeat_window: Duration::from_secs(10),
+};
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(100_000 + millis)
+}
+
+fn endpoint(number: usize) -> EndpointId {
+    format!("i-{number}").parse().expect("a name")
+}
+
+fn list(count: usize, slots: u32) -> EndpointList {
+    let entry = |number: usize| ListedEndpoint {
+        service: "model".parse().expect("a name"),
+        address: format!("127.0.0.1:{}", 9_000 + number)
+            .parse()
+            .expect("an address"),
+        zone: "z1".parse().expect("a name"),
+        slots,
+        is_draining: false,
+        cold: Duration::ZERO,
+        started: 1,
+    };
+    (0..count)
+        .map(|number| (endpoint(number), entry(number)))
+        .collect()
+}
+
+fn config(memory: Option<u64>) -> ServingConfig {
+    let traits = ServiceTraits {
+        health_path: "/healthz".into(),
+        connections: 100,
+        engine_slots: memory.map(|_| 8),
+        engine_tokens: memory,
+    };
+    let service = "model".parse().expect("a name");
+    let config = ServingConfig::builder(1).service(service, traits).build();
+    config.expect("the configuration has no findings")
+}
+
+fn machine(endpoints: usize, slots: u32, memory: Option<u64>) -> GatewayMachine {
+    let mut machine = GatewayMachine::new("z1".parse().expect("a name"), BOUNDS);
+    machine.set_endpoints(&list(endpoints, slots), &config(memory), at(0));
+    machine
+}
+
+fn call(now: ClockTime, may_repeat: bool) -> GatewayCall {
+    GatewayCall::builder("model".parse().expect("a name"), CustomerId::new(1), now)
+        .objective(Duration::from_millis(800), Some(Duration::from_millis(400)))
+        .deadline(now + Duration::from_secs(12))
+        .attempts(may_repeat, 2)
+        .build()
+}
+
+fn prompt(subject: u64, own: u32) -> Option<PromptShape> {
+    let text = format!("1:500,{subject:x}:4000,ffff:{own}");
+    Some(PromptShape {
+        input: 4_500 + own,
+        output_limit: 100,
+        output_hint: Some(50),
+        parts: PromptShape::parse_parts(&text).expect("parts"),
+    })
+}
+
+fn starts(actions: Vec<GatewayAction>) -> Vec<(RequestId, EndpointId)> {
+    let starts = actions.into_iter().filter_map(|action| match action {
+        GatewayAction::Start {
+            request, endpoint, ..
+        } => Some((request, endpoint)),
+        _ => None,
+    });
+    starts.collect()
+}
+
+#[test]
+fn without_an_endpoint_a_request_is_refused_at_once() {
+    let mut machine = machine(0, 8, None);
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    let actions = machine.take_actions(at(0));
+    assert!(matches!(
+        actions[..],
+        [GatewayAction::Refuse {
+            reason: RefusalReason::NoEndpoint,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn prompts_with_the_same_beginning_go_to_the_same_endpoint_at_every_router() {
+    let (mut one, mut other) = (machine(5, 8, Some(600_000)), machine(5, 8, Some(600_000)));
+    let mut used = Vec::new();
+    for subject in 0..20 {
+        let now = at(subject * 1_000);
+        let mut homes = Vec::new();
+        for machine in [&mut one, &mut other] {
+            let id = RequestId::new(subject + 1);
+            let mut call = call(now, true);
+            call.prompt = prompt(subject, 100);
+            machine.submit(id, call, now);
+            homes.extend(
+                starts(machine.take_actions(now))
+                    .into_iter()
+                    .map(|(_, home)| home),
+            );
+            machine.end(id, AttemptEnd::Complete, now);
+        }
+        assert_eq!(homes[0], homes[1]);
+        used.push(homes.remove(0));
+    }
+    used.sort();
+    used.dedup();
+    assert!(
+        used.len() >= 4,
+        "twenty subjects spread over {} of 5 endpoints",
+        used.len()
+    );
+}
+
+#[test]
+fn long_prompts_keep_away_from_the_endpoints_of_short_ones() {
+    let mut machine = machine(9, 64, Some(600_000));
+    let (mut long, mut short) = (Vec::new(), Vec::new());
+    for number in 0..300 {
+        let now = at(number * 700);
+        let is_long = number % 10 == 9;
+        let mut call = call(now, true);
+        call.prompt = prompt(number % 30, if is_long { 40_000 } else { 1_000 });
+        machine.submit(RequestId::new(number), call, now);
+        for (_, home) in starts(machine.take_actions(now)) {
+            if number >= 100 {
+                (if is_long { &mut long } else { &mut short }).push(home);
+            }
+        }
+        machine.first_event(RequestId::new(number), now + Duration::from_millis(600));
+        machine.end(
+            RequestId::new(number),
+            AttemptEnd::Complete,
+            now + Duration::from_millis(650),
+        );
+    }
+    assert!(!long.is_empty() && !short.is_empty());
+    assert!(long.iter().all(|home| !short.contains(home)));
+}
+
+#[test]
+fn a_request_that_may_have_run_is_repeated_only_where_that_is_allowed() {
+    for (may_repeat, expected) in [(true, Ok(())), (false, Err(RepeatDenial::MayHaveRun))] {
+        let mut machine = machine(3, 8, None);
+        for number in 100..200 {
+            machine.submit(RequestId::new(number), call(at(0), true), at(0));
+            machine.take_actions(at(0));
+            machine.end(RequestId::new(number), AttemptEnd::Complete, at(0));
+        }
+        let id = RequestId::new(1);
+        machine.submit(id, call(at(0), may_repeat), at(0));
+        let first = starts(machine.take_actions(at(0)));
+        let call = machine.end(id, AttemptEnd::Broken, at(5)).expect("it ran");
+        assert_eq!(
+            machine.repeat(id, call, AttemptEnd::Broken, at(5)),
+            expected
+        );
+        let second = starts(machine.take_actions(at(5)));
+        assert_eq!(second.len(), usize::from(may_repeat));
+        assert!(second.iter().all(|(_, endpoint)| *endpoint != first[0].1));
+    }
+}
+
+#[test]
+fn no_request_is_sent_to_more_endpoints_than_its_route_allows() {
+    let mut machine = machine(5, 8, None);
+    for number in 100..200 {
+        machine.submit(RequestId::new(number), call(at(0), true), at(0));
+        machine.take_actions(at(0));
+        machine.end(RequestId::new(number), AttemptEnd::Complete, at(0));
+    }
+    let id = RequestId::new(1);
+    machine.submit(id, call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    let call = machine.end(id, AttemptEnd::Full, at(1)).expect("it ran");
+    machine
+        .repeat(id, call, AttemptEnd::Full, at(1))
+        .expect("a second endpoint");
+    machine.take_actions(at(1));
+    let call = machine.end(id, AttemptEnd::Full, at(2)).expect("it ran");
+    let third = machine.repeat(id, call, AttemptEnd::Full, at(2));
+    assert_eq!(third, Err(RepeatDenial::Attempts));
+}
+
+#[test]
+fn what_did_not_reach_an_endpoint_costs_neither_attempts_nor_budget() {
+    let mut machine = machine(4, 8, None);
+    let id = RequestId::new(1);
+    machine.submit(id, call(at(0), false), at(0));
+    for step in 0..3 {
+        assert_eq!(starts(machine.take_actions(at(step))).len(), 1);
+        let call = machine
+            .end(id, AttemptEnd::NotReached, at(step))
+            .expect("it was sent");
+        machine
+            .repeat(id, call, AttemptEnd::NotReached, at(step))
+            .expect("another endpoint");
+    }
+}
+
+#[test]
+fn an_endpoint_whose_address_has_another_incarnation_is_not_used_again() {
+    let mut machine = machine(1, 8, None);
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    machine.end(RequestId::new(1), AttemptEnd::Misdirected, at(1));
+    machine.submit(RequestId::new(2), call(at(2), true), at(2));
+    assert!(starts(machine.take_actions(at(2))).is_empty());
+    // The same name with a later start is a new incarnation.
+    let mut reborn: EndpointList = list(1, 8);
+    for (_, entry) in reborn.iter_mut() {
+        entry.started = 2;
+    }
+    machine.set_endpoints(&reborn, &config(None), at(3));
+    machine.submit(RequestId::new(3), call(at(3), true), at(3));
+    assert_eq!(starts(machine.take_actions(at(3))).len(), 1);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_and_what_waits_there_moves() {
+    let mut machine = machine(1, 1, None);
+    for number in 1..=3 {
+        machine.submit(RequestId::new(number), call(at(0), true), at(0));
+    }
+    // One slot and one ahead of it.
+    assert_eq!(starts(machine.take_actions(at(0))).len(), 2);
+    let mut changed = list(2, 8);
+    if let Some(entry) = changed.get_mut(&endpoint(0)) {
+        entry.is_draining = true;
+    }
+    machine.set_endpoints(&changed, &config(None), at(1));
+    let moved = starts(machine.take_actions(at(1)));
+    assert_eq!(moved, [(RequestId::new(3), endpoint(1))]);
+}
+
+#[test]
+fn repeats_stay_below_their_ratio_in_any_window() {
+    let mut budget = RepeatBudget::new(0.2, Duration::from_secs(10));
+    let mut repeats = 0;
+    for step in 0..1_000_u64 {
+        budget.note_request(at(step));
+        repeats += u32::from(budget.try_repeat(at(step)));
+    }
+    assert!(
+        repeats > 100 && repeats <= 200,
+        "{repeats} repeats of 1,000 requests"
+    );
+    // Requests of a window that is over allow nothing.
+    assert!(!budget.try_repeat(at(1_000 + 10_001)));
+}
+
+fn state(wait_ms: u32) -> DeskMessage {
+    DeskMessage::State(DeskStateFrame {
+        wait_ms,
+        rate: 80.0,
+        running: 0,
+    })
+}
+
+fn told(actions: &[GatewayAction]) -> Vec<&DeskMessage> {
+    let told = actions.iter().filter_map(|action| match action {
+        GatewayAction::TellDesk { message, .. } => Some(message),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn a_connected_desk_is_asked_and_its_grant_starts_the_request() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    let actions = machine.take_actions(at(0));
+    assert!(matches!(told(&actions)[..], [DeskMessage::Ask(_)]));
+    assert!(starts(actions).is_empty());
+    machine.desk_told(
+        &endpoint(0),
+        DeskMessage::Grant(DeskNotice { request: 1 }),
+        at(3),
+    );
+    assert_eq!(starts(machine.take_actions(at(3))).len(), 1);
+    machine.first_event(RequestId::new(1), at(50));
+    machine.end(RequestId::new(1), AttemptEnd::Complete, at(90));
+    let actions = machine.take_actions(at(90));
+    assert!(matches!(
+        told(&actions)[..],
+        [DeskMessage::FirstEvent(_), DeskMessage::End(_)]
+    ));
+}
+
+#[test]
+fn a_grant_for_a_caller_that_left_starts_nothing() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    machine.withdraw(RequestId::new(1), at(1));
+    assert!(matches!(
+        told(&machine.take_actions(at(1)))[..],
+        [DeskMessage::Withdraw(_)]
+    ));
+    machine.desk_told(
+        &endpoint(0),
+        DeskMessage::Grant(DeskNotice { request: 1 }),
+        at(2),
+    );
+    assert!(starts(machine.take_actions(at(2))).is_empty());
+}
+
+#[test]
+fn a_refusal_of_a_desk_reaches_the_caller_with_its_advice() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    let frame = DeskRefusalFrame {
+        request: 1,
+        come_back_ms: 700,
+    };
+    machine.desk_told(&endpoint(0), DeskMessage::Refuse(frame), at(3));
+    let actions = machine.take_actions(at(3));
+    let expected = GatewayAction::Refuse {
+        request: RequestId::new(1),
+        reason: RefusalReason::NoRoomInTime,
+        retry_after: Duration::from_millis(700),
+    };
+    assert_eq!(actions, [expected]);
+}
+
+#[test]
+fn a_silent_desk_no_longer_decides() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(1_000), true), at(1_000));
+    assert!(starts(machine.take_actions(at(1_000))).is_empty());
+    assert!(starts(machine.take_actions(at(1_300))).is_empty());
+    let actions = machine.take_actions(at(1_400));
+    assert!(actions.contains(&GatewayAction::CloseDesk(endpoint(0))));
+    assert_eq!(starts(actions).len(), 1);
+}
+
+#[test]
+fn a_desk_that_returns_is_told_what_runs_and_asked_again() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    machine.desk_down(&endpoint(0), at(5));
+    assert_eq!(starts(machine.take_actions(at(5))).len(), 1);
+    let hello = machine
+        .desk_hello(&endpoint(0), "edge-1", at(6))
+        .expect("it is listed");
+    assert_eq!(hello.runs.len(), 1);
+    machine.desk_told(&endpoint(0), state(0), at(7));
+    machine.submit(RequestId::new(2), call(at(8), true), at(8));
+    assert!(matches!(
+        told(&machine.take_actions(at(8)))[..],
+        [DeskMessage::Ask(_)]
+    ));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Submit {
+        may_repeat: bool,
+        subject: u64,
+        own: u32,
+    },
+    First(usize),
+    End(usize, u8),
+    Leave(usize),
+    List(u8),
+    DeskUp(usize),
+    DeskDown(usize),
+    Grant(usize),
+    Wait(u16),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (any::<bool>(), 0_u64..6, 0_u32..50_000)
+            .prop_map(|(may_repeat, subject, own)| Step::Submit { may_repeat, subject, own }),
+        2 => (0_usize..16).prop_map(Step::First),
+        4 => (0_usize..16, 0_u8..6).prop_map(|(index, end)| Step::End(index, end)),
+        2 => (0_usize..16).prop_map(Step::Leave),
+        1 => any::<u8>().prop_map(Step::List),
+        1 => (0_usize..4).prop_map(Step::DeskUp),
+        1 => (0_usize..4).prop_map(Step::DeskDown),
+        4 => (0_usize..16).prop_map(Step::Grant),
+        3 => (0_u16..400).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 1..150)
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Endpoints to which a request was sent, with whether it may have run there.
+    sent: Vec<(EndpointId, bool)>,
+    may_repeat: bool,
+    is_over: bool,
+    is_running: bool,
+}
+
+proptest! {
+    #![proptest_config(seeded(150))]
+
+    /// Over any history of lists, desks, failures and leaving callers: a request is sent nowhere
+    /// after its end, never twice at a time, never again after it may have run unless that is
+    /// allowed, and never twice to one endpoint; a refusal tells of requests that never ran.
+    #[test]
+    fn a_gateway_keeps_its_promises_over_any_history(steps in steps()) {
+        const ENDS: [AttemptEnd; 6] = [
+            AttemptEnd::Complete, AttemptEnd::NotReached, AttemptEnd::Full,
+            AttemptEnd::Misdirected, AttemptEnd::Failed, AttemptEnd::Broken,
+        ];
+        let mut machine = machine(4, 3, Some(200_000));
+        let mut now = at(0);
+        let mut seen: SortedMap<RequestId, Seen> = SortedMap::new();
+        let mut asked: Vec<(EndpointId, u64)> = Vec::new();
+        let mut number = 0;
+        for step in steps {
+            let running = |index: usize, seen: &SortedMap<RequestId, Seen>| {
+                seen.iter().filter(|(_, seen)| seen.is_running).nth(index).map(|(id, _)| *id)
+            };
+            match step {
+                Step::Submit { may_repeat, subject, own } => {
+                    number += 1;
+                    let id = RequestId::new(number);
+                    let mut call = call(now, may_repeat);
+                    call.prompt = prompt(subject, own);
+                    seen.insert(id, Seen { may_repeat, ..Seen::default() });
+                    machine.submit(id, call, now);
+                }
+                Step::First(index) => {
+                    if let Some(id) = running(index, &seen) {
+                        machine.first_event(id, now);
+                    }
+                }
+                Step::End(index, end) => {
+                    let end = ENDS[end as usize];
+                    if let Some(id) = running(index, &seen) {
+                        let entry = seen.get_mut(&id).expect("it was submitted");
+                        entry.is_running = false;
+                        if let Some(last) = entry.sent.last_mut() {
+                            last.1 = !end.is_not_run();
+                        }
+                        let call = machine.end(id, end, now).expect("it runs");
+                        let repeats = end != AttemptEnd::Complete
+                            && machine.repeat(id, call, end, now).is_ok();
+                        entry.is_over = !repeats;
+                    }
+                }
+                Step::Leave(index) => {
+                    let id = seen.iter().filter(|(_, seen)| !seen.is_over).nth(index);
+                    if let Some(id) = id.map(|(id, _)| *id) {
+                        machine.withdraw(id, now);
+                        let entry = seen.get_mut(&id).expect("it was submitted");
+                        entry.is_over = true;
+                        entry.is_running = false;
+                    }
+                }
+                Step::List(bits) => {
+                    let mut changed = list(4, 3);
+                    changed.retain(|id, entry| {
+                        let number = (0..4).find(|number| endpoint(*number) == *id).unwrap_or(0);
+                        entry.is_draining = bits & (16 << number) != 0;
+                        bits & (1 << number) != 0
+                    });
+                    machine.set_endpoints(&changed, &config(Some(200_000)), now);
+                }
+                Step::DeskUp(number) => machine.desk_told(&endpoint(number), state(0), now),
+                Step::DeskDown(number) => machine.desk_down(&endpoint(number), now),
+                Step::Grant(index) => {
+                    if index < asked.len() {
+                        let (endpoint, request) = asked.remove(index);
+                        machine.desk_told(&endpoint, DeskMessage::Grant(DeskNotice { request }), now);
+                    }
+                }
+                Step::Wait(millis) => now = now + Duration::from_millis(u64::from(millis)),
+            }
+            for action in machine.take_actions(now) {
+                match action {
+                    GatewayAction::Start { request, endpoint, .. } => {
+                        let entry = seen.get_mut(&request).expect("it was submitted");
+                        prop_assert!(!entry.is_over && !entry.is_running);
+                        prop_assert!(entry.sent.iter().all(|(sent, _)| *sent != endpoint));
+                        let may_have_run = entry.sent.iter().any(|(_, ran)| *ran);
+                        prop_assert!(entry.may_repeat || !may_have_run);
+                        entry.is_running = true;
+                        entry.sent.push((endpoint, true));
+                    }
+                    GatewayAction::Refuse { request, .. } => {
+                        let entry = seen.get_mut(&request).expect("it was submitted");
+                        prop_assert!(!entry.is_over && !entry.is_running);
+                        entry.is_over = true;
+                    }
+                    GatewayAction::TellDesk { endpoint, message: DeskMessage::Ask(frame) } => {
+                        asked.push((endpoint, frame.request));
+                    }
+                    GatewayAction::TellDesk { .. } | GatewayAction::CloseDesk(_) => {}
+                }
+            }
+        }
+    }
+}
