--- a/crates/cicadalock-node/src/callers/handler.rs
+++ b/crates/cicadalock-node/src/callers/handler.rs
@@ -9,13 +9,13 @@
 use cicadalock_core::outcome::RequestOutcome;
 use cicadalock_core::router::{CallerEvent, CallerRequest};
 use cicadalock_core::time::ClockTime;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use tokio::sync::watch;
 
 use super::answer::{AnswerBody, AnswerStream, RequestWatch};
+use super::body::{BodyFault, read_body};
 use super::classify::{RequestClass, classify, endpoint_headers, header};
 use super::problem::{OUTCOME_HEADER, RequestProblem, outcome_value, respond_failure};
 use crate::clock::ProcessClock;
@@ -72,9 +72,10 @@
             Ok(class) => class,
             Err(problem) => return Ok(self.reject(problem)),
         };
-        let body = match read_body(body, class.config.limits().body).await {
-            Ok(body) => body,
-            Err(problem) => return Ok(self.reject(problem)),
+        let limit = class.config.limits().body as usize;
+        let body = match read_body(body, limit, BODY_LIMIT).await {
+            Ok(body) => body.into(),
+            Err(fault) => return Ok(self.reject(body_problem(fault))),
         };
         let trace = self.begin_trace(header(&parts.headers, "traceparent"));
         let mut headers = endpoint_headers(&parts.headers);
@@ -198,30 +199,20 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Vec<u8>, RequestProblem> {
-    const TOO_LARGE: RequestProblem = RequestProblem {
-        status: 413,
-        problem: "body-too-large",
-        detail: "the body exceeds the limit of the configuration",
+fn body_problem(fault: BodyFault) -> RequestProblem {
+    let (status, problem, detail) = match fault {
+        BodyFault::TooLarge => (
+            413,
+            "body-too-large",
+            "the body exceeds the limit of the configuration",
+        ),
+        BodyFault::NotWhole => (400, "bad-body", "the body is not whole"),
+        BodyFault::TooSlow => (408, "slow-body", "the body did not come in time"),
     };
-    let declared = hyper::body::Body::size_hint(&body).lower();
-    if declared > limit {
-        return Err(TOO_LARGE);
-    }
-    let limited = Limited::new(body, limit as usize);
-    match tokio::time::timeout(BODY_LIMIT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes().into()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(TOO_LARGE),
-        Ok(Err(_)) => Err(RequestProblem {
-            status: 400,
-            problem: "bad-body",
-            detail: "the body is not whole",
-        }),
-        Err(_) => Err(RequestProblem {
-            status: 408,
-            problem: "slow-body",
-            detail: "the body did not come in time",
-        }),
+    RequestProblem {
+        status,
+        problem,
+        detail,
     }
 }
 
--- a/crates/cicadalock-node/src/callers/mod.rs
+++ b/crates/cicadalock-node/src/callers/mod.rs
@@ -13,10 +13,12 @@
 //! ```
 
 mod answer;
+mod body;
 mod classify;
 mod handler;
 mod port;
 mod problem;
 
+pub(crate) use body::{BodyFault, read_body};
 pub use classify::parse_bearer;
 pub use port::{CallerPort, PortBuilder};
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -25,6 +25,7 @@
 use super::request_guard::RequestGuard;
 use super::shared::{GatewayShared, StartOrder, StartVerdict};
 use super::stream_relay::{GatewayBody, StreamRelay};
+use crate::callers::{BodyFault, read_body};
 
 /// Greatest answer that is not a stream, in bytes.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
@@ -157,16 +158,13 @@
         .unwrap_or(DEFAULT_PATIENCE)
         .min(route.timeout);
     let deadline = arrived + patience;
-    let limited = Limited::new(body, config.limits().body_bytes);
     let left = deadline.since(shared.now());
-    let body = match tokio::time::timeout(left, limited.collect()).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(CallerRefusal::improper(413, "body-too-large"));
-        }
-        Ok(Err(_)) => return Err(CallerRefusal::improper(400, "bad-body")),
-        Err(_) => return Err(CallerRefusal::improper(408, "slow-body")),
-    };
+    let body = read_body(body, config.limits().body_bytes, left).await;
+    let body = body.map_err(|fault| match fault {
+        BodyFault::TooLarge => CallerRefusal::improper(413, "body-too-large"),
+        BodyFault::NotWhole => CallerRefusal::improper(400, "bad-body"),
+        BodyFault::TooSlow => CallerRefusal::improper(408, "slow-body"),
+    })?;
     let path = parts.uri.path_and_query().cloned();
     let request = CallerRequest {
         method: parts.method,
