fix(gateway): silent streams are given up before their callers leave; given-up connections are reset

Change: a stream that may not go on elsewhere is answered 504, or broken, at 0.9 of callers' patience; connections to endpoints linger for no time, so what was not delivered is taken back.

--- a/crates/cicadalock-core/src/serving/route.rs
+++ b/crates/cicadalock-core/src/serving/route.rs
@@ -4,6 +4,18 @@
 
 use crate::id::ServiceName;
 
+/// Least silence after which callers leave a stream.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Silence after which callers leave a stream, in objectives.
+const PATIENCE_OBJECTIVES: u32 = 4;
+
+/// Silence after which callers leave a stream, in longest pauses.
+const PATIENCE_PAUSES: u32 = 8;
+
+/// Part of callers' patience after which a silent stream is given up; the rest is for the ways.
+const SILENCE_PART: f64 = 0.9;
+
 /// What may be repeated of a route's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -109,6 +121,17 @@
         matches!(self.kind, RouteKind::Streaming { .. })
     }
 
+    /// Silence after which a stream is given up: just before its caller leaves.
+    ///
+    /// Callers leave a silent stream after the longest of two seconds, four objectives and eight
+    /// pauses. One that is told before may come back; one that left is counted as lost.
+    #[must_use]
+    pub fn silence_limit(&self) -> Duration {
+        let patience = LEAST_PATIENCE.max(self.objective * PATIENCE_OBJECTIVES);
+        let pauses = self.pause.unwrap_or_default() * PATIENCE_PAUSES;
+        patience.max(pauses).mul_f64(SILENCE_PART)
+    }
+
     /// Picks a target by weight; equal numbers pick the same one.
     #[must_use]
     pub fn target(&self, number: u64) -> Option<&ServiceName> {
--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -158,6 +158,9 @@
     let _ = stream.set_nodelay(true);
     let _ = socket.set_tcp_keepalive(&keepalive);
     let _ = socket.set_tcp_user_timeout(Some(SEND_LIMIT));
+    // A connection that is given up takes back what the kernel has not delivered: a request must
+    // not reach an endpoint after its caller has left.
+    let _ = socket.set_linger(Some(Duration::ZERO));
 }
 
 /// How long the endpoint keeps an idle connection; none if it closes it.
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -248,6 +248,9 @@
         let patience = if self.route.may_repeat() {
             let patience = self.route.objective.mul_f64(PATIENCE_OBJECTIVES) + order.expected;
             patience.min(left)
+        } else if self.route.is_streaming() {
+            let waited = self.shared.now().since(self.arrived);
+            self.route.silence_limit().saturating_sub(waited).min(left)
         } else {
             left
         };
@@ -299,7 +302,7 @@
             guard: guard.take(),
             request: self.request.clone(),
             is_resumable: self.route.may_repeat(),
-            pause: self.route.pause,
+            silence: self.route.silence_limit(),
             arrived: self.arrived,
             resume_after: self.facts.resume_after.clone(),
         };
@@ -334,7 +337,9 @@
         if !self.may_have_run {
             return CallerRefusal::not_run(failure.end.name(), SOON);
         }
-        let is_late = self.shared.now() >= self.request.deadline;
+        let waited = self.shared.now().since(self.arrived);
+        let is_silent = self.route.is_streaming() && waited >= self.route.silence_limit();
+        let is_late = is_silent || self.shared.now() >= self.request.deadline;
         let status = if is_late { 504 } else { 502 };
         CallerRefusal::may_have_run(status, failure.end.name())
     }
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -25,14 +25,6 @@
 /// Pieces of a stream that may wait for its caller.
 const PIECE_CAPACITY: usize = 64;
 
-/// Silence after which a stream that can go on elsewhere is given up, in longest pauses.
-///
-/// Callers leave after eight.
-const SILENCE_PAUSES: u32 = 4;
-
-/// Longest pause assumed of routes that tell none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(500);
-
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub(super) enum GatewayBody {
@@ -89,7 +81,8 @@
     pub(super) guard: RequestGuard,
     pub(super) request: CallerRequest,
     pub(super) is_resumable: bool,
-    pub(super) pause: Option<Duration>,
+    /// Silence after which the stream is given up, or goes on elsewhere after half of it.
+    pub(super) silence: Duration,
     pub(super) arrived: ClockTime,
     /// Event after which the caller itself goes on.
     pub(super) resume_after: Option<String>,
@@ -166,15 +159,15 @@
         cutter: &mut EventCutter,
         caller: &mpsc::Sender<StreamPiece>,
     ) -> PartEnd {
-        let silence = self.pause.unwrap_or(DEFAULT_PAUSE) * SILENCE_PAUSES;
+        let silence = if self.is_resumable {
+            self.silence / 2
+        } else {
+            self.silence
+        };
         loop {
             let left = self.request.deadline.since(self.shared.now());
             let is_begun = cutter.events() > 0;
-            let limit = if self.is_resumable && is_begun {
-                silence.min(left)
-            } else {
-                left
-            };
+            let limit = silence.min(left);
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = caller.closed() => return PartEnd::CallerLeft,
