--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -13,7 +13,7 @@
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(2_000));
 
 /// Time for which shorter prompts may overtake the next request in order.
-const OVERTAKING_TIME: Duration = Duration::from_millis(60);
+const OVERTAKING_TIME: Duration = Duration::from_millis(20);
 
 /// Reading that overtakes even then: below a tenth of what a burst allows, it delays nothing.
 const OVERTAKING_READ: Duration = Duration::from_millis(20);
--- a/crates/cicadalock-node/src/gateway/desk_links.rs
+++ b/crates/cicadalock-node/src/gateway/desk_links.rs
@@ -47,8 +47,8 @@
 enum LinkError {
     #[snafu(context(false), display("{source}"))]
     Transport { source: io::Error },
-    #[snafu(display("not reached in time"))]
-    TooSlow,
+    #[snafu(context(false), display("no answer in time"))]
+    TooSlow { source: tokio::time::error::Elapsed },
     #[snafu(display("closed"))]
     Closed,
     #[snafu(display("the endpoint is gone"))]
@@ -140,7 +140,7 @@
     address: SocketAddr,
 ) -> Result<(), LinkError> {
     let connecting = tokio::time::timeout(ANSWER_LIMIT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| LinkError::TooSlow)??;
+    let stream = connecting.await??;
     prepare_link(&stream);
     let mut frames = Framed::new(stream, DeskCodec::new());
     let hello = {
@@ -151,9 +151,7 @@
     let hello = hello.ok_or(LinkError::Gone)?;
     frames.send(DeskMessage::Hello(hello)).await?;
     let first = tokio::time::timeout(ANSWER_LIMIT, frames.next()).await;
-    let first = first
-        .map_err(|_| LinkError::TooSlow)?
-        .ok_or(LinkError::Closed)??;
+    let first = first?.ok_or(LinkError::Closed)??;
     let (outbox, mut ring) = mpsc::channel(OUTBOX_CAPACITY);
     shared.desks.set_outbox(endpoint, Some(outbox));
     shared
