--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -5,12 +5,10 @@
 use super::endpoint_state::EndpointState;
 use super::placing::PlacePlan;
 use crate::collect::SortedMap;
-use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, DeskState, RunKey};
+use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, RunKey};
 use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
-use crate::message::{
-    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskPing, DeskRun, DeskStateFrame,
-};
-use crate::place::{PrefixMemory, ReadRate};
+use crate::message::{DeskMessage, DeskNotice};
+use crate::place::PrefixMemory;
 use crate::retry::RepeatBudget;
 use crate::serving::{EndpointList, ServingConfig};
 use crate::time::ClockTime;
@@ -32,16 +30,11 @@
 /// Least time in which an endpoint can answer anything.
 const LEAST_TIME: Duration = Duration::from_millis(40);
 
-/// A desk that owes an answer and is silent for longer no longer decides.
-///
-/// It tells its state every 100 ms; three in a row are not lost by chance.
-const DESK_SILENCE: Duration = Duration::from_millis(350);
-
 /// A desk hears something of each router this often; it gives up after three times as long.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const PING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The link under which a router's own desks know its requests.
-const OWN_LINK: LinkId = LinkId::new(0);
+pub(super) const OWN_LINK: LinkId = LinkId::new(0);
 
 /// Bounds that hold for all routers together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -61,9 +54,9 @@
     pub(super) traffic: SortedMap<ServiceName, ServiceTraffic>,
     bounds: GatewayBounds,
     /// What customers received through this router.
-    meter: CustomerMeter,
-    requests: SortedMap<RequestId, GatewayRequest>,
-    actions: Vec<GatewayAction>,
+    pub(super) meter: CustomerMeter,
+    pub(super) requests: SortedMap<RequestId, GatewayRequest>,
+    pub(super) actions: Vec<GatewayAction>,
     swept: ClockTime,
 }
 
@@ -77,17 +70,17 @@
 }
 
 #[derive(Debug)]
-struct GatewayRequest {
-    call: GatewayCall,
-    phase: GatewayPhase,
+pub(super) struct GatewayRequest {
+    pub(super) call: GatewayCall,
+    pub(super) phase: GatewayPhase,
     /// When it began to wait, anew after a failed attempt.
-    since: ClockTime,
-    plan: PlacePlan,
-    ask: DeskAsk,
+    pub(super) since: ClockTime,
+    pub(super) plan: PlacePlan,
+    pub(super) ask: DeskAsk,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum GatewayPhase {
+pub(super) enum GatewayPhase {
     /// In the line of this router's own desk.
     Waiting,
     /// The desk beside the endpoint was asked.
@@ -275,93 +268,6 @@
         Ok(())
     }
 
-    /// First message to the desk beside an endpoint: its limits and this router's runs there.
-    #[must_use]
-    pub fn desk_hello(
-        &self,
-        endpoint: &EndpointId,
-        host: &str,
-        now: ClockTime,
-    ) -> Option<DeskHello> {
-        let limits = self.endpoints.get(endpoint)?.desk.gate().limits();
-        let runs = self.requests.iter().filter_map(|(id, request)| {
-            let GatewayPhase::Running { is_read } = request.phase else {
-                return None;
-            };
-            let is_there = request.plan.endpoint == *endpoint;
-            is_there.then(|| DeskRun {
-                ask: Some(self.ask_frame(*id, &request.ask, now)),
-                is_read,
-            })
-        });
-        Some(DeskHello {
-            host: host.to_owned(),
-            slots: limits.slots,
-            memory: limits.memory.unwrap_or_default(),
-            pause_ms: limits.pause.as_millis() as u32,
-            runs: runs.collect(),
-        })
-    }
-
-    /// Takes in a message of the desk beside an endpoint; its first one lets it decide.
-    pub fn desk_told(&mut self, endpoint: &EndpointId, message: DeskMessage, now: ClockTime) {
-        let Some(state) = self.endpoints.get_mut(endpoint) else {
-            return;
-        };
-        match message {
-            DeskMessage::State(frame) => {
-                let remote = state.remote.get_or_insert_default();
-                remote.heard = now;
-                remote.asked_units = 0.0;
-                remote.state = desk_state(&frame);
-                state.desk.set_rate(remote.state.rate);
-            }
-            DeskMessage::Grant(notice) => {
-                let id = RequestId::new(notice.request);
-                let is_asked = self.requests.get(&id).is_some_and(|request| {
-                    request.phase == GatewayPhase::Asked && request.plan.endpoint == *endpoint
-                });
-                if is_asked {
-                    self.start(id, now);
-                }
-            }
-            DeskMessage::Refuse(frame) => {
-                let id = RequestId::new(frame.request);
-                let asked = self.requests.get(&id);
-                if asked.is_some_and(|request| request.phase == GatewayPhase::Asked) {
-                    self.requests.remove(&id);
-                    let advice = Duration::from_millis(u64::from(frame.come_back_ms));
-                    self.refuse(id, RefusalReason::NoRoomInTime, advice);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Notes that the desk beside an endpoint no longer answers: this router decides for itself.
-    pub fn desk_down(&mut self, endpoint: &EndpointId, now: ClockTime) {
-        let Some(state) = self.endpoints.get_mut(endpoint) else {
-            return;
-        };
-        state.remote = None;
-        let asked = self.requests.iter().filter(|(_, request)| {
-            request.phase == GatewayPhase::Asked && request.plan.endpoint == *endpoint
-        });
-        let asked: Vec<RequestId> = asked.map(|(id, _)| *id).collect();
-        for id in asked {
-            if let Some(request) = self.requests.remove(&id) {
-                self.wait(id, request.call, now);
-            }
-        }
-    }
-
-    /// Tells whether a desk beside the endpoint decides.
-    #[must_use]
-    pub fn has_desk(&self, endpoint: &EndpointId) -> bool {
-        let state = self.endpoints.get(endpoint);
-        state.is_some_and(|state| state.remote.is_some())
-    }
-
     /// When something may next be due.
     #[must_use]
     pub fn next_wake(&self) -> Option<ClockTime> {
@@ -394,7 +300,7 @@
     }
 
     /// Places a request and lets it wait there, or refuses it.
-    fn wait(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
+    pub(super) fn wait(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
         let Some(plan) = self.plan(&call, now) else {
             self.refuse(id, RefusalReason::NoEndpoint, NO_ENDPOINT_ADVICE);
             return;
@@ -445,21 +351,7 @@
         }
     }
 
-    /// Starts a request that the desk beside its endpoint granted.
-    fn start(&mut self, id: RequestId, now: ClockTime) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let ask = request.ask;
-        if let Some(state) = self.endpoints.get_mut(&request.plan.endpoint) {
-            state.desk.adopt(own_key(id), &ask, false, now);
-        }
-        self.meter
-            .charge(ask.customer, OWN_LINK, ask.cost as f64, now);
-        self.start_at(id, now);
-    }
-
-    fn start_at(&mut self, id: RequestId, now: ClockTime) {
+    pub(super) fn start_at(&mut self, id: RequestId, now: ClockTime) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -494,38 +386,6 @@
         }
     }
 
-    /// Gives up desks that owe an answer, and keeps the others from giving up this router.
-    fn check_desks(&mut self, now: ClockTime) {
-        let mut silent: Vec<EndpointId> = Vec::new();
-        for request in self.requests.values() {
-            let is_owed =
-                request.phase == GatewayPhase::Asked && now.since(request.since) > DESK_SILENCE;
-            let state = self.endpoints.get(&request.plan.endpoint);
-            let remote = state.and_then(|state| state.remote);
-            let is_silent = remote.is_none_or(|remote| now.since(remote.heard) > DESK_SILENCE);
-            if is_owed && is_silent && !silent.contains(&request.plan.endpoint) {
-                silent.push(request.plan.endpoint.clone());
-            }
-        }
-        for endpoint in silent {
-            self.desk_down(&endpoint, now);
-            self.actions.push(GatewayAction::CloseDesk(endpoint));
-        }
-        let quiet: Vec<EndpointId> = self
-            .endpoints
-            .iter()
-            .filter(|(_, state)| {
-                state
-                    .remote
-                    .is_some_and(|remote| now.since(remote.told) >= PING_INTERVAL)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for endpoint in quiet {
-            self.tell_desk(&endpoint, DeskMessage::Ping(DeskPing {}), now);
-        }
-    }
-
     /// Places waiting requests again whose endpoint may no longer be used.
     fn move_stranded(&mut self, now: ClockTime) {
         let stranded: Vec<RequestId> = self
@@ -547,30 +407,12 @@
         }
     }
 
-    fn tell_desk(&mut self, endpoint: &EndpointId, message: DeskMessage, now: ClockTime) {
-        let state = self.endpoints.get_mut(endpoint);
-        if let Some(remote) = state.and_then(|state| state.remote.as_mut()) {
-            remote.told = now;
-            let endpoint = endpoint.clone();
-            self.actions
-                .push(GatewayAction::TellDesk { endpoint, message });
-        }
-    }
-
-    fn ask_frame(&self, id: RequestId, ask: &DeskAsk, now: ClockTime) -> DeskAskFrame {
-        DeskAskFrame {
-            request: id.get(),
-            customer: ask.customer.get(),
-            units: ask.units as f32,
-            memory: ask.memory,
-            cost: ask.cost,
-            latest_ms: ask.latest.since(now).as_millis() as u32,
-            until_ms: ask.until.since(now).as_millis() as u32,
-            received: self.meter.received(ask.customer, now) as f32,
-        }
-    }
-
-    fn refuse(&mut self, request: RequestId, reason: RefusalReason, retry_after: Duration) {
+    pub(super) fn refuse(
+        &mut self,
+        request: RequestId,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
         self.actions.push(GatewayAction::Refuse {
             request,
             reason,
@@ -596,15 +438,7 @@
         .latest(latest)
 }
 
-fn desk_state(frame: &DeskStateFrame) -> DeskState {
-    DeskState {
-        wait: Duration::from_millis(u64::from(frame.wait_ms)),
-        rate: ReadRate::from_tokens_per_milli(f64::from(frame.rate)),
-        running: frame.running,
-    }
-}
-
-const fn own_key(id: RequestId) -> RunKey {
+pub(super) const fn own_key(id: RequestId) -> RunKey {
     (OWN_LINK, id)
 }
 
--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint_state;
 mod machine;
 mod placing;
+mod remote_desk;
 
 pub use action::{GatewayAction, RefusalReason, RepeatDenial};
 pub use call::{AttemptEnd, CallBuilder, GatewayCall};
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -0,0 +1,123 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use super::dialect::GatewayDialect;
+use super::serve::serve;
+use super::shared::GatewayShared;
+
+/// Descriptors that are not for connections: files, listeners, the runtime's own.
+const RESERVED_DESCRIPTORS: usize = 256;
+
+/// Part of the other descriptors that callers' connections may use; the rest is for endpoints.
+const CALLER_PART: f64 = 0.6;
+
+/// Time without a sign of life after which a caller's connection counts as lost.
+const CALLER_SILENCE: Duration = Duration::from_secs(10);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes of a request's head that the parser holds at least.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+
+/// Header fields of one request.
+const HEADER_LIMIT: usize = 100;
+
+/// Serves callers until `drain`, then their last requests until `end`.
+pub(super) async fn accept_all<D: GatewayDialect>(
+    shared: Rc<GatewayShared>,
+    listener: TcpListener,
+    drain: CancellationToken,
+    end: CancellationToken,
+) {
+    let descriptors = shared.settings.borrow().descriptors;
+    let spare = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+    let limit = (spare as f64 * CALLER_PART) as usize;
+    let mut tasks = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+            () = drain.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) if tasks.len() < limit => {
+                tasks.spawn_local(converse::<D>(
+                    Rc::clone(&shared),
+                    stream,
+                    drain.clone(),
+                    end.clone(),
+                ));
+            }
+            Ok(_) => shared
+                .log
+                .write("connection-refused", json!({"open": tasks.len()})),
+            Err(error) => {
+                shared
+                    .log
+                    .write("accept-failed", json!({"problem": error.to_string()}));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Serves one connection of a caller.
+async fn converse<D: GatewayDialect>(
+    shared: Rc<GatewayShared>,
+    stream: TcpStream,
+    drain: CancellationToken,
+    end: CancellationToken,
+) {
+    prepare(&stream);
+    let limits = shared
+        .config
+        .borrow()
+        .as_ref()
+        .map(|config| *config.limits());
+    let limits = limits.unwrap_or_default();
+    let service = service_fn(|request| serve::<D>(Rc::clone(&shared), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library's time for a head also runs while a connection is idle.
+        .header_read_timeout(limits.idle_timeout)
+        .max_headers(HEADER_LIMIT)
+        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let is_ended = tokio::select! {
+        _ = connection.as_mut() => true,
+        () = drain.cancelled() => false,
+    };
+    if !is_ended {
+        connection.as_mut().graceful_shutdown();
+        tokio::select! {
+            // A caller whose connection fails has left.
+            _ = connection => {}
+            () = end.cancelled() => {}
+        }
+    }
+}
+
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(CALLER_SILENCE / 2)
+        .with_interval(CALLER_SILENCE / 4)
+        .with_retries(2);
+    // A connection without these options works; a lost caller is only noticed later.
+    let _ = stream.set_nodelay(true);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+    let _ = socket.set_tcp_user_timeout(Some(CALLER_SILENCE));
+}
--- a/crates/cicadalock-node/src/gateway/dialect.rs
+++ b/crates/cicadalock-node/src/gateway/dialect.rs
@@ -1,12 +1,11 @@
 use std::fmt;
 use std::time::Duration;
 
-use cicadalock_core::id::{CustomerName, EndpointId, Revision};
-use cicadalock_core::serving::{ListedEndpoint, PromptShape, RouteFinding, ServingConfig};
+use cicadalock_core::id::{CustomerName, EndpointId};
+use cicadalock_core::serving::PromptShape;
 use hyper::HeaderMap;
-use snafu::Snafu;
 
-use super::GatewaySettings;
+use super::{GatewaySettings, PlatformStore};
 use crate::desk::DeskSettings;
 
 /// The names and formats of a platform: it translates and decides nothing.
@@ -85,89 +84,3 @@
     /// Requests that run and that wait at the endpoint.
     pub load: Option<(u32, u32)>,
 }
-
-/// Reads of the platform's store.
-pub trait PlatformStore: Send + 'static {
-    /// Reads a page of all documents, those after a key.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store gives no whole answer.
-    fn page(&self, after: Option<&str>) -> Result<StorePage, StoreError>;
-
-    /// Waits for changes after a revision.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store gives no whole answer or no longer has the history.
-    fn changes(&self, after: Revision, wait: Duration) -> Result<StoreChanges, StoreError>;
-}
-
-/// What one document says.
-#[derive(Debug, Clone, PartialEq)]
-pub enum StoreDocument {
-    /// A configuration, or every fault found in it.
-    Config(Box<Result<ServingConfig, Vec<RouteFinding>>>),
-    /// An endpoint, or why the entry names none.
-    Endpoint(EndpointId, Result<ListedEndpoint, String>),
-    /// Something else.
-    Other,
-}
-
-/// A page of documents.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StorePage {
-    /// The documents.
-    pub documents: Vec<StoreDocument>,
-    /// Key after which the next page begins; none on the last page.
-    pub next: Option<String>,
-    /// Revision of the store when it answered.
-    pub revision: Revision,
-}
-
-/// A document that was written or removed.
-#[derive(Debug, Clone, PartialEq)]
-pub enum StoreChange {
-    /// It was written.
-    Written(StoreDocument),
-    /// The entry of an endpoint was removed.
-    EndpointRemoved(EndpointId),
-    /// Something else was removed.
-    OtherRemoved,
-}
-
-/// Changes in order.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoreChanges {
-    /// The changes.
-    pub changes: Vec<StoreChange>,
-    /// Revision up to which they reach.
-    pub revision: Revision,
-}
-
-/// Why a read of the store failed.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub))]
-pub enum StoreError {
-    /// There is no whole answer.
-    #[snafu(display("{source}"))]
-    Unreachable {
-        /// Cause.
-        source: crate::fetch::FetchError,
-    },
-    /// The store refused; nothing was read.
-    #[snafu(display("the store answers with status {status}"))]
-    Refused {
-        /// HTTP status.
-        status: u16,
-    },
-    /// The changes asked for are no longer kept.
-    #[snafu(display("the store no longer keeps this history"))]
-    HistoryGone,
-    /// The answer cannot be read.
-    #[snafu(display("cannot read the store's answer: {problem}"))]
-    Unreadable {
-        /// What is wrong.
-        problem: String,
-    },
-}
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! [`GatewayMachine`](cicadalock_core::gateway::GatewayMachine); others follow the platform's
 //! store, write log lines, serve metrics and wait for signals.
 
+mod accept;
 mod attempt;
 mod connection_pool;
 mod daemon;
@@ -14,6 +15,7 @@
 mod gateway_metrics;
 mod gateway_settings;
 mod metrics_port;
+mod platform_store;
 mod ready_port;
 mod refusal;
 mod request_guard;
@@ -23,10 +25,10 @@
 mod stream_relay;
 
 pub use daemon::{GatewayError, run_gateway};
-pub use dialect::{
-    AnswerFacts, CallFacts, EndpointOrder, GatewayDialect, PlatformStore, StoreChange,
-    StoreChanges, StoreDocument, StoreError, StorePage,
-};
+pub use dialect::{AnswerFacts, CallFacts, EndpointOrder, GatewayDialect};
 pub use event_cut::EventCutter;
 pub use gateway_settings::{GatewaySettings, GatewayTimes, SettingsBuilder};
+pub use platform_store::{
+    PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
+};
 pub use store_follower::{FollowerNews, StoreFollower};
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -76,17 +76,13 @@
     let (parts, body) = request.into_parts();
     let facts = D::call_facts(&parts.headers);
     let number = facts.request.clone().unwrap_or_default();
-    let mut response = match admit(&shared, &parts, &facts) {
-        Ok((config, route, customer)) => {
-            let journey = read(
-                &shared, parts, body, facts, &config, route, customer, arrived,
-            )
-            .await;
-            match journey {
-                Ok(journey) => journey.run::<D>().await,
-                Err(refusal) => refuse(&shared, &number, refusal, arrived),
-            }
-        }
+    let admitted = admit(&shared, &parts, &facts, arrived);
+    let journey = match admitted {
+        Ok(admission) => read(&shared, parts, body, facts, admission).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = match journey {
+        Ok(journey) => journey.run::<D>().await,
         Err(refusal) => refuse(&shared, &number, refusal, arrived),
     };
     if shared.is_stopping.get() {
@@ -96,13 +92,22 @@
     Ok(response)
 }
 
-type Admission = (Arc<ServingConfig>, Arc<RouteConfig>, Option<CustomerName>);
+/// What the configuration in force allows a request.
+struct Admission {
+    config: Arc<ServingConfig>,
+    route: Arc<RouteConfig>,
+    /// None on public routes.
+    customer: Option<CustomerName>,
+    /// When the request came.
+    arrived: ClockTime,
+}
 
 /// Finds route and customer of a request.
 fn admit(
     shared: &GatewayShared,
     parts: &Parts,
     facts: &CallFacts,
+    arrived: ClockTime,
 ) -> Result<Admission, CallerRefusal> {
     let Some(config) = shared.config.borrow().clone() else {
         return Err(CallerRefusal::not_run("no-configuration", SOON));
@@ -135,29 +140,30 @@
     } else {
         None
     };
-    Ok((config, route, customer))
+    Ok(Admission {
+        config,
+        route,
+        customer,
+        arrived,
+    })
 }
 
 /// Reads a request's body.
-#[expect(
-    clippy::too_many_arguments,
-    reason = "the parts of one request, each used once"
-)]
 async fn read(
     shared: &Rc<GatewayShared>,
     parts: Parts,
     body: Incoming,
     facts: CallFacts,
-    config: &ServingConfig,
-    route: Arc<RouteConfig>,
-    customer: Option<CustomerName>,
-    arrived: ClockTime,
+    admission: Admission,
 ) -> Result<RequestJourney, CallerRefusal> {
-    let patience = facts
-        .patience
-        .unwrap_or(DEFAULT_PATIENCE)
-        .min(route.timeout);
-    let deadline = arrived + patience;
+    let Admission {
+        config,
+        route,
+        customer,
+        arrived,
+    } = admission;
+    let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
+    let deadline = arrived + patience.min(route.timeout);
     let left = deadline.since(shared.now());
     let body = read_body(body, config.limits().body_bytes, left).await;
     let body = body.map_err(|fault| match fault {
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -6,7 +6,7 @@
 use cicadalock_core::serving::{EndpointList, RouteFinding, ServingConfig};
 use cicadalock_core::time::ClockTime;
 
-use super::dialect::{
+use super::platform_store::{
     PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
 
