--- a/crates/cicadalock-node/src/cli/run.rs
+++ b/crates/cicadalock-node/src/cli/run.rs
@@ -5,8 +5,9 @@
 use super::daemon::{run_router, run_sidecar};
 use super::flags::{Cicadalock, CicadalockCmd, Status};
 use crate::admin::{fetch_status, render_status};
-use crate::desk::{DeskError, run_desk};
-use crate::gateway::{GatewayDialect, GatewayError, run_gateway};
+use crate::desk::run_desk;
+use crate::gateway::{GatewayDialect, run_gateway};
+use crate::process::ProcessError;
 use crate::settings::{RouterSettings, SettingsError, SidecarSettings};
 
 /// How a command ended.
@@ -50,8 +51,8 @@
         CicadalockCmd::Sidecar(flags) => {
             daemon(SidecarSettings::load(&flags.settings), run_sidecar)
         }
-        CicadalockCmd::Gateway(_) => gateway::<D>(),
-        CicadalockCmd::Desk(_) => desk::<D>(),
+        CicadalockCmd::Gateway(_) => process(run_gateway::<D>()),
+        CicadalockCmd::Desk(_) => process(run_desk::<D>()),
         CicadalockCmd::Check(flags) => check(&flags),
         CicadalockCmd::Bundle(flags) => bundle(&flags),
         CicadalockCmd::Status(flags) => status(&flags),
@@ -90,31 +91,15 @@
     }
 }
 
-fn gateway<D: GatewayDialect>() -> ExitStatus {
-    match run_gateway::<D>() {
-        Ok(()) => ExitStatus::Fine,
-        Err(error @ GatewayError::Settings { .. }) => {
-            eprintln!("{error}");
-            ExitStatus::Findings
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitStatus::Failure
-        }
-    }
-}
-
-fn desk<D: GatewayDialect>() -> ExitStatus {
-    match run_desk::<D>() {
-        Ok(()) => ExitStatus::Fine,
-        Err(error @ DeskError::Settings { .. }) => {
-            eprintln!("{error}");
-            ExitStatus::Findings
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitStatus::Failure
-        }
+/// How a process on the users' platform ended.
+fn process(result: Result<(), ProcessError>) -> ExitStatus {
+    let Err(error) = result else {
+        return ExitStatus::Fine;
+    };
+    eprintln!("{error}");
+    match error {
+        ProcessError::Settings { .. } => ExitStatus::Findings,
+        ProcessError::Listen { .. } | ProcessError::System { .. } => ExitStatus::Failure,
     }
 }
 
--- a/crates/cicadalock-node/src/desk/desk_codec.rs
+++ b/crates/cicadalock-node/src/desk/desk_codec.rs
@@ -3,18 +3,20 @@
 use bytes::{Bytes, BytesMut};
 use cicadalock_core::message::{DeskEnvelope, DeskMessage};
 use prost::Message;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use crate::process::SocketTimes;
+
 /// Greatest frame, in bytes: the runs of a router at one endpoint, some 60 bytes each.
 const FRAME_LIMIT: usize = 256 * 1024;
 
-/// Idle time after which the kernel asks whether the peer is still there, and between askings.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time after which unacknowledged data counts as lost.
-const SEND_LIMIT: Duration = Duration::from_secs(2);
+/// A desk or router that is gone is noticed within about two seconds.
+pub(crate) const LINK_TIMES: SocketTimes = SocketTimes {
+    idle: Duration::from_secs(1),
+    interval: Duration::from_secs(1),
+    retries: 2,
+    send: Duration::from_secs(2),
+};
 
 /// Cuts a stream of bytes into messages between routers and desks.
 #[derive(Debug)]
@@ -53,16 +55,3 @@
         self.frames.encode(Bytes::from(frame), bytes)
     }
 }
-
-/// Lets a connection between a router and a desk be noticed as lost within seconds.
-pub(crate) fn prepare_link(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    // Without these options the connection works, and its own signs of life end it later.
-    let _ = stream.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(SEND_LIMIT));
-}
--- a/crates/cicadalock-node/src/desk/desk_daemon.rs
+++ b/crates/cicadalock-node/src/desk/desk_daemon.rs
@@ -1,6 +1,5 @@
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,17 +12,17 @@
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, LocalSet};
 use tokio_util::codec::Framed;
 
-use super::desk_codec::{DeskCodec, prepare_link};
+use super::desk_codec::{DeskCodec, LINK_TIMES};
 use super::desk_settings::DeskSettings;
 use crate::clock::ProcessClock;
 use crate::events::EventLog;
 use crate::gateway::GatewayDialect;
+use crate::process::{ProcessError, bind, run_logged};
 
 /// Messages that may wait for one router; one that takes none is cut off.
 const OUTBOX_CAPACITY: usize = 1_024;
@@ -31,31 +30,6 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Why a desk could not run.
-#[derive(Debug, Snafu)]
-pub enum DeskError {
-    /// There are no usable settings.
-    #[snafu(display("cannot use the settings: {problem}"))]
-    Settings {
-        /// What is wrong.
-        problem: String,
-    },
-    /// The address cannot be bound.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// A thread or a socket cannot be had.
-    #[snafu(context(false), display("{source}"))]
-    System {
-        /// Cause.
-        source: io::Error,
-    },
-}
-
 /// What every task of a desk's runtime shares.
 struct DeskShared {
     machine: RefCell<DeskMachine>,
@@ -77,26 +51,13 @@
 /// # Errors
 ///
 /// Fails if the settings cannot be used, or the address or a thread cannot be had.
-pub fn run_desk<D: GatewayDialect>() -> Result<(), DeskError> {
-    let settings = D::load_desk_settings().map_err(|error| DeskError::Settings {
-        problem: error.to_string(),
-    })?;
-    let (log, sink) = EventLog::start(io::stdout())?;
-    log.write(
-        "start-process",
-        json!({"host": settings.host.as_str(), "listen": settings.listen.to_string(), "version": env!("CARGO_PKG_VERSION")}),
-    );
-    let result = run(&settings, log.clone());
-    let problem = result.as_ref().err().map(ToString::to_string);
-    log.write("stop-process", json!({"problem": problem}));
-    drop(log);
-    sink.join();
-    result
+pub fn run_desk<D: GatewayDialect>() -> Result<(), ProcessError> {
+    let settings = D::load_desk_settings().map_err(ProcessError::settings)?;
+    run_logged("desk", &settings.host, |log| run(&settings, log))
 }
 
-fn run(settings: &DeskSettings, log: EventLog) -> Result<(), DeskError> {
-    let address = settings.listen;
-    let listener = std::net::TcpListener::bind(address).context(ListenSnafu { address })?;
+fn run(settings: &DeskSettings, log: EventLog) -> Result<(), ProcessError> {
+    let listener = bind(settings.listen)?;
     listener.set_nonblocking(true)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let handle = signals.handle();
@@ -173,7 +134,7 @@
     link: LinkId,
     mut ring: mpsc::Receiver<DeskMessage>,
 ) {
-    prepare_link(&stream);
+    LINK_TIMES.apply(&stream);
     let mut frames = Framed::new(stream, DeskCodec::new());
     let problem = loop {
         tokio::select! {
--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -5,7 +5,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +12,7 @@
 use super::dialect::GatewayDialect;
 use super::serve::serve;
 use super::shared::GatewayShared;
+use crate::process::SocketTimes;
 
 /// Descriptors that are not for connections: files, listeners, the runtime's own.
 const RESERVED_DESCRIPTORS: usize = 256;
@@ -20,8 +20,13 @@
 /// Part of the other descriptors that callers' connections may use; the rest is for endpoints.
 const CALLER_PART: f64 = 0.6;
 
-/// Time without a sign of life after which a caller's connection counts as lost.
-const CALLER_SILENCE: Duration = Duration::from_secs(10);
+/// A caller that gives no sign of life for ten seconds is gone.
+const CALLER_TIMES: SocketTimes = SocketTimes {
+    idle: Duration::from_secs(5),
+    interval: Duration::from_millis(2_500),
+    retries: 2,
+    send: Duration::from_secs(10),
+};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -80,7 +85,7 @@
     drain: CancellationToken,
     end: CancellationToken,
 ) {
-    prepare(&stream);
+    CALLER_TIMES.apply(&stream);
     let limits = shared
         .config
         .borrow()
@@ -109,15 +114,3 @@
         }
     }
 }
-
-fn prepare(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(CALLER_SILENCE / 2)
-        .with_interval(CALLER_SILENCE / 4)
-        .with_retries(2);
-    // A connection without these options works; a lost caller is only noticed later.
-    let _ = stream.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(CALLER_SILENCE));
-}
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
+use serde_json::json;
 
 use super::connection_pool::{EndpointConnection, connect};
 use super::dialect::{AnswerFacts, EndpointOrder, GatewayDialect};
@@ -64,6 +65,26 @@
             detail: detail.into(),
         }
     }
+
+    /// Tells of the failure, and how the request goes on: repeated, or why not.
+    pub(super) fn log(
+        &self,
+        shared: &GatewayShared,
+        number: &str,
+        endpoint: &EndpointId,
+        next: &str,
+    ) {
+        shared.log.write(
+            "attempt-failed",
+            json!({
+                "request": number,
+                "end": self.end.name(),
+                "detail": self.detail,
+                "endpoint": endpoint.as_str(),
+                "next": next,
+            }),
+        );
+    }
 }
 
 /// Sends a request to an endpoint and waits for the head of the answer, `patience` at most.
--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -10,21 +10,22 @@
 use hyper::HeaderMap;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::process::SocketTimes;
+
 /// Longest time to reach an endpoint; the ways within a region take a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
-/// Time after which unacknowledged bytes count as lost.
-const SEND_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// Idle time after which the kernel asks whether the endpoint is still there.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unanswered askings after which a connection counts as lost.
-const KEEPALIVE_RETRIES: u32 = 2;
+/// An endpoint that is gone is noticed within a second of sending to it, or three of waiting.
+const ENDPOINT_TIMES: SocketTimes = SocketTimes {
+    idle: Duration::from_secs(1),
+    interval: Duration::from_secs(1),
+    retries: 2,
+    send: Duration::from_secs(1),
+};
 
 /// Longest time for which an idle connection is kept, if the endpoint tells none.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
@@ -149,18 +150,10 @@
 }
 
 fn prepare(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    // A connection without these options works; it is only noticed later when it is lost.
-    let _ = stream.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(SEND_LIMIT));
+    ENDPOINT_TIMES.apply(stream);
     // A connection that is given up takes back what the kernel has not delivered: a request must
-    // not reach an endpoint after its caller has left.
-    let _ = socket.set_linger(Some(Duration::ZERO));
+    // not reach an endpoint after its caller has left. Without the option it may.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 /// How long the endpoint keeps an idle connection; none if it closes it.
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -1,5 +1,4 @@
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -8,7 +7,6 @@
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
@@ -23,6 +21,7 @@
 use super::store_follower::{FollowerNews, StoreFollower};
 use crate::clock::ProcessClock;
 use crate::events::EventLog;
+use crate::process::{ProcessError, bind, run_logged};
 
 /// News of the store that may wait for the runtime.
 const NEWS_CAPACITY: usize = 64;
@@ -41,31 +40,6 @@
 /// Pause between two looks at the settings, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Why a gateway could not run.
-#[derive(Debug, Snafu)]
-pub enum GatewayError {
-    /// There are no usable settings.
-    #[snafu(display("cannot use the settings: {problem}"))]
-    Settings {
-        /// What is wrong.
-        problem: String,
-    },
-    /// An address cannot be bound.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// A thread or a socket cannot be had.
-    #[snafu(context(false), display("{source}"))]
-    System {
-        /// Cause.
-        source: io::Error,
-    },
-}
-
 /// What other threads tell the runtime.
 enum ProcessNews {
     Store(FollowerNews),
@@ -78,28 +52,13 @@
 /// # Errors
 ///
 /// Fails if the settings cannot be used, or an address or a thread cannot be had.
-pub fn run_gateway<D: GatewayDialect>() -> Result<(), GatewayError> {
-    let settings = load::<D>()?;
-    let (log, sink) = EventLog::start(io::stdout())?;
-    log.write(
-        "start-process",
-        json!({"host": settings.host.as_str(), "zone": settings.zone.as_str(), "version": env!("CARGO_PKG_VERSION")}),
-    );
-    let result = run::<D>(settings, log.clone());
-    let problem = result.as_ref().err().map(ToString::to_string);
-    log.write("stop-process", json!({"problem": problem}));
-    drop(log);
-    sink.join();
-    result
-}
-
-fn load<D: GatewayDialect>() -> Result<GatewaySettings, GatewayError> {
-    D::load_settings().map_err(|error| GatewayError::Settings {
-        problem: error.to_string(),
-    })
+pub fn run_gateway<D: GatewayDialect>() -> Result<(), ProcessError> {
+    let settings = D::load_settings().map_err(ProcessError::settings)?;
+    let host = settings.host.clone();
+    run_logged("gateway", &host, |log| run::<D>(settings, log))
 }
 
-fn run<D: GatewayDialect>(settings: GatewaySettings, log: EventLog) -> Result<(), GatewayError> {
+fn run<D: GatewayDialect>(settings: GatewaySettings, log: EventLog) -> Result<(), ProcessError> {
     let callers = bind(settings.callers)?;
     let ready = bind(settings.ready)?;
     let counters = bind(settings.metrics)?;
@@ -303,7 +262,3 @@
             }
         })
 }
-
-fn bind(address: SocketAddr) -> Result<std::net::TcpListener, GatewayError> {
-    std::net::TcpListener::bind(address).context(ListenSnafu { address })
-}
--- a/crates/cicadalock-node/src/gateway/desk_links.rs
+++ b/crates/cicadalock-node/src/gateway/desk_links.rs
@@ -16,7 +16,7 @@
 use tokio_util::codec::Framed;
 
 use super::shared::GatewayShared;
-use crate::desk::{DeskCodec, prepare_link};
+use crate::desk::{DeskCodec, LINK_TIMES};
 
 /// Messages that may wait for one desk; a desk that takes none is given up.
 const OUTBOX_CAPACITY: usize = 1_024;
@@ -141,7 +141,7 @@
 ) -> Result<(), LinkError> {
     let connecting = tokio::time::timeout(ANSWER_LIMIT, TcpStream::connect(address));
     let stream = connecting.await??;
-    prepare_link(&stream);
+    LINK_TIMES.apply(&stream);
     let mut frames = Framed::new(stream, DeskCodec::new());
     let hello = {
         let host = shared.settings.borrow().host.clone();
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 mod store_follower;
 mod stream_relay;
 
-pub use daemon::{GatewayError, run_gateway};
+pub use daemon::run_gateway;
 pub use dialect::{AnswerFacts, CallFacts, EndpointOrder, GatewayDialect};
 pub use event_cut::EventCutter;
 pub use gateway_settings::{GatewaySettings, GatewayTimes, SettingsBuilder};
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -231,12 +231,17 @@
             };
             let denial = match guard.repeat(call, failure.end) {
                 Ok(()) => {
-                    self.log_failure(&failure, &order, "repeated");
+                    failure.log(
+                        &self.shared,
+                        &self.request.number,
+                        &order.endpoint,
+                        "repeated",
+                    );
                     continue;
                 }
                 Err(denial) => denial.name(),
             };
-            self.log_failure(&failure, &order, denial);
+            failure.log(&self.shared, &self.request.number, &order.endpoint, denial);
             return match answer {
                 Some(answer) => self.pass_whole(answer, &order),
                 None => self.refuse(self.failed(&failure)),
@@ -371,19 +376,6 @@
         );
     }
 
-    fn log_failure(&self, failure: &AttemptFailure, order: &StartOrder, next: &str) {
-        self.shared.log.write(
-            "attempt-failed",
-            json!({
-                "request": self.request.number,
-                "end": failure.end.name(),
-                "detail": failure.detail,
-                "endpoint": order.endpoint.as_str(),
-                "next": next,
-            }),
-        );
-    }
-
     fn log_answer(&self, status: u16, form: &str, order: Option<&StartOrder>) {
         let reason = form.to_owned();
         let labels = AnswerLabels { status, reason };
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cicadalock_core::gateway::AttemptEnd;
+use cicadalock_core::gateway::{AttemptEnd, RepeatDenial};
 use cicadalock_core::id::EndpointId;
 use cicadalock_core::time::ClockTime;
 use http_body_util::{BodyExt, Full};
@@ -218,10 +218,12 @@
         cutter.drop_rest();
         let mut endpoint = endpoint.clone();
         loop {
-            self.log_failure(&failure, &endpoint, cutter);
             let call = self.guard.end(failure.end)?;
-            if let Err(denial) = self.guard.repeat(call, failure.end) {
-                self.log_end(denial.name(), &endpoint, cutter);
+            let denial = self.guard.repeat(call, failure.end).err();
+            let next = denial.map_or("repeated", RepeatDenial::name);
+            failure.log(&self.shared, &self.request.number, &endpoint, next);
+            if denial.is_some() {
+                self.log_end(next, &endpoint, cutter);
                 return None;
             }
             let left = self.request.deadline.since(self.shared.now());
@@ -294,19 +296,6 @@
         );
     }
 
-    fn log_failure(&self, failure: &AttemptFailure, endpoint: &EndpointId, cutter: &EventCutter) {
-        self.shared.log.write(
-            "attempt-failed",
-            json!({
-                "request": self.request.number,
-                "end": failure.end.name(),
-                "detail": failure.detail,
-                "endpoint": endpoint.as_str(),
-                "events": cutter.events(),
-            }),
-        );
-    }
-
     fn log_resumed(&self, endpoint: &EndpointId, after: Option<&str>) {
         self.shared.log.write(
             "stream-resumed",
--- a/crates/cicadalock-node/src/lib.rs
+++ b/crates/cicadalock-node/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`desk`] | the process beside an endpoint that decides whose request starts there |
 //! | [`events`] | structured log lines |
 //! | [`fetch`] | reads of documents over HTTP |
+//! | [`process`] | log, errors and sockets of processes on the users' platform |
 //! | [`admin`] | the status port |
 //! | [`metrics`] | counters |
 //! | [`trace`] | spans |
@@ -32,6 +33,7 @@
 pub mod links;
 pub mod metrics;
 pub mod platform;
+pub mod process;
 pub mod settings;
 pub mod trace;
 pub mod wire;
--- a/crates/cicadalock-node/src/links/connection.rs
+++ b/crates/cicadalock-node/src/links/connection.rs
@@ -8,13 +8,13 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::{LinkEvent, LinkIdentity};
 use crate::metrics::{Metric, ProcessMetrics};
+use crate::process::SocketTimes;
 use crate::wire::{
     EnvelopeCodec, FRAME_LIMIT, FleetKey, FrameError, HELLO_LIMIT, LinkOutbox, RevisionGauge,
 };
@@ -22,14 +22,13 @@
 /// Longest time from the start of a connection to both proofs.
 const HANDSHAKE_LIMIT: Duration = Duration::from_secs(3);
 
-/// Idle time after which the kernel asks whether the peer is still there, and between askings.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unanswered askings after which the connection counts as lost.
-const KEEPALIVE_RETRIES: u32 = 3;
-
-/// Time after which unacknowledged data counts as lost.
-const SEND_LIMIT: Duration = Duration::from_secs(4);
+/// A peer that is gone is noticed within four seconds.
+const PEER_TIMES: SocketTimes = SocketTimes {
+    idle: Duration::from_secs(1),
+    interval: Duration::from_secs(1),
+    retries: 3,
+    send: Duration::from_secs(4),
+};
 
 /// What every connection of a process shares.
 #[derive(Debug)]
@@ -66,7 +65,7 @@
     link: LinkId,
     dialled: bool,
 ) {
-    prepare(&stream);
+    PEER_TIMES.apply(&stream);
     let (reader, writer) = stream.into_split();
     let mut reader = FramedRead::new(reader, EnvelopeCodec::new(HELLO_LIMIT));
     let mut writer = FramedWrite::new(writer, EnvelopeCodec::new(FRAME_LIMIT));
@@ -104,17 +103,6 @@
         .await;
 }
 
-fn prepare(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(SEND_LIMIT));
-}
-
 /// Exchanges hellos and proofs; the accepting side proves itself only after the dialling side.
 async fn handshake<I>(
     context: &ConnectionContext<I>,
--- /dev/null
+++ b/crates/cicadalock-node/src/process/logged_run.rs
@@ -0,0 +1,27 @@
+use std::io;
+
+use cicadalock_core::id::HostName;
+use serde_json::json;
+
+use super::ProcessError;
+use crate::events::EventLog;
+
+/// Runs a process between a line for its start and one for its end.
+pub(crate) fn run_logged(
+    role: &str,
+    host: &HostName,
+    run: impl FnOnce(EventLog) -> Result<(), ProcessError>,
+) -> Result<(), ProcessError> {
+    let (log, sink) = EventLog::start(io::stdout())?;
+    let version = env!("CARGO_PKG_VERSION");
+    log.write(
+        "start-process",
+        json!({"role": role, "host": host.as_str(), "version": version}),
+    );
+    let result = run(log.clone());
+    let problem = result.as_ref().err().map(ToString::to_string);
+    log.write("stop-process", json!({"problem": problem}));
+    drop(log);
+    sink.join();
+    result
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/process/mod.rs
@@ -0,0 +1,10 @@
+//! What processes on the users' platform have in common: their log, their errors, their sockets.
+
+mod logged_run;
+mod process_error;
+mod socket_times;
+
+pub(crate) use logged_run::run_logged;
+pub use process_error::ProcessError;
+pub(crate) use process_error::bind;
+pub(crate) use socket_times::SocketTimes;
