fix(status): a sidecar without a host list no longer looks settled

The test waited for 'missing_words' to be empty and then 4.0 s; a key is fresh 3.5 s (1.5 s lease, 2 s clock difference) after the last home confirmed the view. A restarted sidecar that has not read the host list has no homes and therefore misses no words, so the wait ended at once and the margin of 0.5 s was used up by the time until the view was confirmed. New test: a sidecar without a host list calls no key fresh. Conclusion: the product was right, its status was not.

--- a/crates/cicadalock-core/src/outcome/ledger.rs
+++ b/crates/cicadalock-core/src/outcome/ledger.rs
@@ -272,9 +272,14 @@
     /// Tells whether nobody can have run a key, or forgotten its run, if it is not remembered here.
     #[must_use]
     pub fn is_fresh(&self, key: &IdempotencyKey, fresh_after: WallTime, now: WallTime) -> bool {
-        let skew = millis(self.settings.skew);
+        key.minted() > self.fresh_from(fresh_after) && !self.is_past_window(key, now)
+    }
+
+    /// The minting time, by a caller's clock, that a new key must be past to be fresh.
+    #[must_use]
+    pub fn fresh_from(&self, fresh_after: WallTime) -> WallTime {
         let fresh_after = fresh_after.max(self.settings.start);
-        key.minted() > fresh_after.plus_millis(skew) && !self.is_past_window(key, now)
+        fresh_after.plus_millis(millis(self.settings.skew))
     }
 
     fn is_past_window(&self, key: &IdempotencyKey, now: WallTime) -> bool {
--- a/crates/cicadalock-core/src/sidecar/keyed.rs
+++ b/crates/cicadalock-core/src/sidecar/keyed.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// The time after which any new key must have been minted; none while the view is unconfirmed.
+    pub(super) fn keys_fresh_after(&self, now: ClockTime) -> Option<WallTime> {
+        let is_held = self.lease.held_until().is_some_and(|until| now < until);
+        let settled = self.lease.settled_since().filter(|_| is_held)?;
+        Some(self.ledger.fresh_from(settled))
+    }
+
     /// Until when a claimed request may begin; none if it may not.
     pub(super) fn check_claim(
         &mut self,
--- a/crates/cicadalock-core/src/sidecar/machine.rs
+++ b/crates/cicadalock-core/src/sidecar/machine.rs
@@ -96,6 +96,8 @@
     pub keys: usize,
     /// Homes of keys whose word is missing.
     pub missing_words: Vec<HostName>,
+    /// Keys minted later run here if they are new; none while the view is not confirmed.
+    pub keys_fresh_after: Option<WallTime>,
 }
 
 impl SidecarMachine {
@@ -334,6 +336,7 @@
             is_failing: self.backoff.is_failing(),
             keys: self.ledger.len(),
             missing_words: self.lease.missing(now).cloned().collect(),
+            keys_fresh_after: self.keys_fresh_after(now),
         }
     }
 
--- a/crates/cicadalock-core/tests/sidecar_endpoint.rs
+++ b/crates/cicadalock-core/tests/sidecar_endpoint.rs
@@ -95,3 +95,13 @@
 ) {
     assert_eq!(is_paused(customers, calls, &result), expected);
 }
+
+#[test]
+fn a_sidecar_without_a_host_list_calls_no_key_fresh() {
+    let config = desk_config(1);
+    let mut machine = machine(&config);
+    machine.tick(NOW, WALL);
+    let report = machine.report(NOW);
+    assert!(report.missing_words.is_empty());
+    assert_eq!(report.keys_fresh_after, None);
+}
--- a/crates/cicadalock-node/src/hub/sidecar_role.rs
+++ b/crates/cicadalock-node/src/hub/sidecar_role.rs
@@ -6,7 +6,7 @@
 use cicadalock_core::member::HostList;
 use cicadalock_core::message::{Hello, PeerMessage};
 use cicadalock_core::sidecar::{CallResult, RunOrder, SidecarAction, SidecarMachine};
-use cicadalock_core::time::ClockTime;
+use cicadalock_core::time::{ClockTime, WallTime};
 use serde_json::{Value, json};
 
 use super::{HubRole, LinkTable};
@@ -194,6 +194,7 @@
             "is_leaving": report.is_leaving,
             "is_failing": report.is_failing,
             "keys": report.keys,
+            "keys_fresh_after_ms": report.keys_fresh_after.map(WallTime::as_unix_millis),
             "missing_words": report.missing_words.iter().map(HostName::as_str).collect::<Vec<_>>(),
         })
     }
--- a/crates/trial/src/fleet/running.rs
+++ b/crates/trial/src/fleet/running.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -242,20 +243,32 @@
             })
     }
 
-    /// Waits until keyed requests can run: every sidecar has its peers' words.
-    pub fn wait_for_words(&self, limit: std::time::Duration) -> bool {
-        let deadline = std::time::Instant::now() + limit;
-        while std::time::Instant::now() < deadline {
+    /// Waits until every sidecar's view of the homes is confirmed.
+    pub fn wait_for_words(&self, limit: Duration) -> bool {
+        self.wait_for_keys(limit, |_| true)
+    }
+
+    /// Waits until every sidecar runs new keys that are minted now.
+    #[must_use]
+    pub fn wait_for_fresh_keys(&self, limit: Duration) -> bool {
+        self.wait_for_keys(limit, |after| u128::from(after) < unix_millis())
+    }
+
+    /// Waits until the time after which keys are fresh satisfies `condition` at every sidecar.
+    ///
+    /// A sidecar that has no host list yet misses no words, but knows no such time.
+    fn wait_for_keys(&self, limit: Duration, condition: impl Fn(u64) -> bool) -> bool {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
             let is_settled = self.sidecars.iter().all(|sidecar| {
                 let status = self.status(sidecar.admin).unwrap_or_default();
-                status["role"]["missing_words"]
-                    .as_array()
-                    .is_some_and(Vec::is_empty)
+                let after = status["role"]["keys_fresh_after_ms"].as_u64();
+                after.is_some_and(&condition)
             });
             if is_settled {
                 return true;
             }
-            std::thread::sleep(std::time::Duration::from_millis(50));
+            std::thread::sleep(Duration::from_millis(50));
         }
         false
     }
@@ -370,3 +383,8 @@
         self.proxy.as_ref().map_or(self.listen, FaultProxy::address)
     }
 }
+
+fn unix_millis() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis())
+}
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -57,13 +57,12 @@
         .customer("kor", 1)
 }
 
-/// Waits until keyed requests can run and keys minted now are fresh.
+/// Waits until keyed requests can run, also with keys minted now.
 pub fn settle(fleet: &RunningFleet) {
     assert!(
-        fleet.wait_for_words(Duration::from_secs(10)),
-        "the homes have no words"
+        fleet.wait_for_fresh_keys(Duration::from_secs(20)),
+        "keys minted now are not fresh"
     );
-    std::thread::sleep(Duration::from_millis(4_000));
 }
 
 /// Callers of bookings at so many a second.
