feat(fair): every desk and router knows what all routers gave customers; hosts that were behind rest

Change: once a second a router tells each desk what its customers received (Totals, also its sign of life; Ping goes), and two desks in turn answer with the sums over all routers (Sums). A host that was behind in the last 4 s, or has four fifths of its callers' connections open, is not ready and closes connections after their answer, so that callers and the balancer go to other hosts. Conclusion: sums were missing where many routers share many endpoints; resting is what small hosts needed.

--- a/crates/cicadalock-core/src/desk/customer_meter.rs
+++ b/crates/cicadalock-core/src/desk/customer_meter.rs
@@ -2,6 +2,7 @@
 
 use crate::collect::SortedMap;
 use crate::id::{CustomerId, LinkId};
+use crate::message::CustomerTotal;
 use crate::time::ClockTime;
 
 /// Time in which what a customer received loses half of its weight.
@@ -53,6 +54,30 @@
         links.map_or(0.0, |links| links.values().map(|cost| cost.at(now)).sum())
     }
 
+    /// What a customer received lately through `link`.
+    #[must_use]
+    pub fn received_through(&self, customer: CustomerId, link: LinkId, now: ClockTime) -> f64 {
+        let links = self.customers.get(&customer);
+        let cost = links.and_then(|links| links.get(&link));
+        cost.map_or(0.0, |cost| cost.at(now))
+    }
+
+    /// Customers that received at least one cost unit lately, by all links or by one.
+    pub fn totals(&self, link: Option<LinkId>, now: ClockTime) -> Vec<CustomerTotal> {
+        let total = |customer: &CustomerId| {
+            let received = match link {
+                Some(link) => self.received_through(*customer, link, now),
+                None => self.received(*customer, now),
+            };
+            CustomerTotal {
+                customer: customer.get(),
+                received: received as f32,
+            }
+        };
+        let totals = self.customers.keys().map(total);
+        totals.filter(|total| total.received >= 1.0).collect()
+    }
+
     /// Forgets what a router told.
     pub fn drop_link(&mut self, link: LinkId) {
         for links in self.customers.values_mut() {
--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -7,7 +7,8 @@
 use crate::collect::SortedMap;
 use crate::id::{CustomerId, LinkId, RequestId};
 use crate::message::{
-    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame,
+    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
+    DeskTotals,
 };
 use crate::place::ReadRate;
 use crate::time::ClockTime;
@@ -97,6 +98,7 @@
                 self.desk.end(key(link, notice), now);
                 self.leave(link);
             }
+            DeskMessage::Totals(totals) => self.take_totals(link, &totals, now),
             _ => {}
         }
     }
@@ -186,6 +188,20 @@
         }
     }
 
+    /// Takes in what a router gave customers, and tells it what all routers gave them.
+    fn take_totals(&mut self, link: LinkId, totals: &DeskTotals, now: ClockTime) {
+        for total in &totals.lines {
+            let customer = CustomerId::new(total.customer);
+            self.meter
+                .set(customer, link, f64::from(total.received), now);
+        }
+        if totals.wants_sums {
+            let lines = self.meter.totals(None, now);
+            let sums = DeskMessage::Sums(DeskSums { lines });
+            self.actions.push(DeskAction::Send(link, sums));
+        }
+    }
+
     fn refuse(&mut self, refusal: DeskRefusal) {
         let (link, request) = refusal.key;
         self.leave(link);
--- a/crates/cicadalock-core/src/gateway/endpoint_state.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -26,7 +26,6 @@
     pub(super) rate: ReadRate,
     pub(super) forecast: WaitForecast,
     pub(super) heard: ClockTime,
-    pub(super) told: ClockTime,
 }
 
 impl EndpointState {
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -30,12 +30,17 @@
 /// Least time in which an endpoint can answer anything.
 const LEAST_TIME: Duration = Duration::from_millis(40);
 
-/// A desk hears something of each router this often; it gives up after three times as long.
-pub(super) const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Desks hear of customers' totals this often: twice in the time in which they fade by half.
+///
+/// A desk gives up a router that says nothing for more than three times as long.
+pub(super) const TOTALS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The link under which a router's own desks know its requests.
 pub(super) const OWN_LINK: LinkId = LinkId::new(0);
 
+/// The link under which a router counts what customers received through all other routers.
+pub(super) const OTHERS_LINK: LinkId = LinkId::new(1);
+
 /// Bounds that hold for all routers together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GatewayBounds {
@@ -58,6 +63,9 @@
     pub(super) requests: SortedMap<RequestId, GatewayRequest>,
     pub(super) actions: Vec<GatewayAction>,
     swept: ClockTime,
+    /// When customers' totals were last told, and how many desks were asked for sums so far.
+    pub(super) exchanged: ClockTime,
+    pub(super) exchanges: usize,
     /// When this router was last found behind its own events.
     pub(super) attentive_since: ClockTime,
 }
@@ -133,6 +141,8 @@
             requests: SortedMap::new(),
             actions: Vec::new(),
             swept: ClockTime::default(),
+            exchanged: ClockTime::default(),
+            exchanges: 0,
             attentive_since: ClockTime::default(),
         }
     }
@@ -186,7 +196,7 @@
                 self.requests.remove(&id);
             }
             GatewayPhase::Asked => {
-                self.tell_desk(&endpoint, DeskMessage::Withdraw(notice(id)), now);
+                self.tell_desk(&endpoint, DeskMessage::Withdraw(notice(id)));
                 self.requests.remove(&id);
             }
             GatewayPhase::Running { .. } => {
@@ -205,7 +215,7 @@
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.desk.first_event(own_key(id), now);
             state.health.succeed();
-            self.tell_desk(&endpoint, DeskMessage::FirstEvent(notice(id)), now);
+            self.tell_desk(&endpoint, DeskMessage::FirstEvent(notice(id)));
         }
     }
 
@@ -233,7 +243,7 @@
                 AttemptEnd::Misdirected => state.is_replaced = true,
                 AttemptEnd::Failed | AttemptEnd::Broken => state.health.fail(now),
             }
-            self.tell_desk(&endpoint, DeskMessage::End(notice(id)), now);
+            self.tell_desk(&endpoint, DeskMessage::End(notice(id)));
         }
         request.call.tried.push(endpoint);
         Some(request.call)
@@ -281,8 +291,9 @@
         if waits {
             return Some(self.swept + SWEEP_INTERVAL);
         }
-        let remotes = self.endpoints.values().filter_map(|state| state.remote);
-        remotes.map(|remote| remote.told + PING_INTERVAL).min()
+        let mut states = self.endpoints.values();
+        let has_desks = states.any(|state| state.remote.is_some());
+        has_desks.then(|| self.exchanged + TOTALS_INTERVAL)
     }
 
     /// What is to be done now.
@@ -291,6 +302,7 @@
             self.note_lag(now.since(self.swept).saturating_sub(SWEEP_INTERVAL), now);
             self.swept = now;
             self.refuse_overdue(now);
+            self.exchange_totals(now);
             self.check_desks(now);
         }
         self.admit(now);
@@ -339,7 +351,7 @@
         };
         self.requests.insert(id, request);
         if phase == GatewayPhase::Asked {
-            self.tell_desk(&endpoint, DeskMessage::Ask(frame), now);
+            self.tell_desk(&endpoint, DeskMessage::Ask(frame));
         }
     }
 
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
 use super::action::{GatewayAction, RefusalReason};
-use super::machine::{GatewayMachine, GatewayPhase, OWN_LINK, PING_INTERVAL, own_key};
+use super::machine::{
+    GatewayMachine, GatewayPhase, OTHERS_LINK, OWN_LINK, TOTALS_INTERVAL, own_key,
+};
 use crate::desk::DeskAsk;
-use crate::id::{EndpointId, RequestId};
-use crate::message::{DeskAskFrame, DeskHello, DeskMessage, DeskPing, DeskRun};
+use crate::id::{CustomerId, EndpointId, RequestId};
+use crate::message::{DeskAskFrame, DeskHello, DeskMessage, DeskRun, DeskSums, DeskTotals};
 use crate::place::ReadRate;
 use crate::time::ClockTime;
 
@@ -13,6 +15,9 @@
 /// It tells its state every 100 ms; three in a row are not lost by chance.
 const DESK_SILENCE: Duration = Duration::from_millis(350);
 
+/// Desks that are asked for sums at a time.
+const SUM_DESKS: usize = 2;
+
 /// Delay of this router's own work after which it does not judge others by theirs.
 ///
 /// Less than a third of [`DESK_SILENCE`], more than a quota of the processor takes at a time.
@@ -79,10 +84,47 @@
                     self.refuse(id, RefusalReason::NoRoomInTime, advice);
                 }
             }
+            DeskMessage::Sums(sums) => self.take_sums(&sums, now),
             _ => {}
         }
     }
 
+    /// Takes in what all routers gave customers.
+    fn take_sums(&mut self, sums: &DeskSums, now: ClockTime) {
+        for sum in &sums.lines {
+            let customer = CustomerId::new(sum.customer);
+            let own = self.meter.received_through(customer, OWN_LINK, now);
+            let others = (f64::from(sum.received) - own).max(0.0);
+            self.meter.set(customer, OTHERS_LINK, others, now);
+        }
+    }
+
+    /// Tells every desk what customers received here, and asks some for the sums of all routers.
+    ///
+    /// Those asked change with each call, so that one that is frozen is no loss.
+    pub(super) fn exchange_totals(&mut self, now: ClockTime) {
+        if now.since(self.exchanged) < TOTALS_INTERVAL {
+            return;
+        }
+        self.exchanged = now;
+        let desks = self
+            .endpoints
+            .iter()
+            .filter(|(_, state)| state.remote.is_some());
+        let desks: Vec<EndpointId> = desks.map(|(id, _)| id.clone()).collect();
+        let lines = self.meter.totals(Some(OWN_LINK), now);
+        let first = self.exchanges;
+        self.exchanges = self.exchanges.wrapping_add(SUM_DESKS);
+        for (index, endpoint) in desks.iter().enumerate() {
+            let turn = (index + first) % desks.len();
+            let totals = DeskTotals {
+                lines: lines.clone(),
+                wants_sums: turn < SUM_DESKS,
+            };
+            self.tell_desk(endpoint, DeskMessage::Totals(totals));
+        }
+    }
+
     /// Notes that the desk beside an endpoint no longer answers: this router decides for itself.
     pub fn desk_down(&mut self, endpoint: &EndpointId, now: ClockTime) {
         let Some(state) = self.endpoints.get_mut(endpoint) else {
@@ -107,7 +149,7 @@
         state.is_some_and(|state| state.remote.is_some())
     }
 
-    /// Gives up desks that owe an answer, and keeps the others from giving up this router.
+    /// Gives up desks that owe an answer.
     pub(super) fn check_desks(&mut self, now: ClockTime) {
         let silence = |since: ClockTime| now.since(since.max(self.attentive_since));
         let mut silent: Vec<EndpointId> = Vec::new();
@@ -125,19 +167,6 @@
             self.desk_down(&endpoint, now);
             self.actions.push(GatewayAction::CloseDesk(endpoint));
         }
-        let quiet: Vec<EndpointId> = self
-            .endpoints
-            .iter()
-            .filter(|(_, state)| {
-                state
-                    .remote
-                    .is_some_and(|remote| now.since(remote.told) >= PING_INTERVAL)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for endpoint in quiet {
-            self.tell_desk(&endpoint, DeskMessage::Ping(DeskPing {}), now);
-        }
     }
 
     /// Notes that this router runs `lag` behind its events.
@@ -163,15 +192,8 @@
         self.start_at(id, now);
     }
 
-    pub(super) fn tell_desk(
-        &mut self,
-        endpoint: &EndpointId,
-        message: DeskMessage,
-        now: ClockTime,
-    ) {
-        let state = self.endpoints.get_mut(endpoint);
-        if let Some(remote) = state.and_then(|state| state.remote.as_mut()) {
-            remote.told = now;
+    pub(super) fn tell_desk(&mut self, endpoint: &EndpointId, message: DeskMessage) {
+        if self.has_desk(endpoint) {
             let endpoint = endpoint.clone();
             self.actions
                 .push(GatewayAction::TellDesk { endpoint, message });
@@ -187,7 +209,7 @@
             cost: ask.cost,
             latest_ms: ask.latest.since(now).as_millis() as u32,
             until_ms: ask.until.since(now).as_millis() as u32,
-            received: self.meter.received(ask.customer, now) as f32,
+            received: self.meter.received_through(ask.customer, OWN_LINK, now) as f32,
         }
     }
 }
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -95,7 +95,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DeskEnvelope {
     /// The message; none from a peer that knows newer ones.
-    #[prost(oneof = "DeskMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "DeskMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub message: Option<DeskMessage>,
 }
 
@@ -126,14 +126,43 @@
     /// What the desk believes; also its sign of life.
     #[prost(message, tag = "8")]
     State(DeskStateFrame),
-    /// The router's sign of life.
+    /// What customers received through the router; also its sign of life.
     #[prost(message, tag = "9")]
-    Ping(DeskPing),
+    Totals(DeskTotals),
+    /// What customers received through all routers that the desk knows.
+    #[prost(message, tag = "10")]
+    Sums(DeskSums),
 }
 
-/// A sign of life.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct DeskPing {}
+/// What customers received lately through the router that sends it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DeskTotals {
+    /// Customers that received anything.
+    #[prost(message, repeated, tag = "1")]
+    pub lines: Vec<CustomerTotal>,
+    /// Whether the desk is to answer with the sums over all routers.
+    #[prost(bool, tag = "2")]
+    pub wants_sums: bool,
+}
+
+/// What customers received lately through all routers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DeskSums {
+    /// Customers that received anything.
+    #[prost(message, repeated, tag = "1")]
+    pub lines: Vec<CustomerTotal>,
+}
+
+/// What one customer received lately.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct CustomerTotal {
+    /// Customer id.
+    #[prost(fixed32, tag = "1")]
+    pub customer: u32,
+    /// Cost units, fading.
+    #[prost(float, tag = "2")]
+    pub received: f32,
+}
 
 impl From<DeskMessage> for DeskEnvelope {
     fn from(message: DeskMessage) -> Self {
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -24,8 +24,8 @@
     TotalLine, TotalsReport, ViewWord,
 };
 pub use desk::{
-    DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage, DeskNotice, DeskPing, DeskRefusalFrame,
-    DeskRun, DeskStateFrame,
+    CustomerTotal, DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage, DeskNotice,
+    DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals,
 };
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
--- a/crates/cicadalock-core/tests/desk.rs
+++ b/crates/cicadalock-core/tests/desk.rs
@@ -8,7 +8,9 @@
     CustomerMeter, DeskAction, DeskAsk, DeskMachine, EndpointDesk, GateLimits, RunKey,
 };
 use cicadalock_core::id::{CustomerId, LinkId, RequestId};
-use cicadalock_core::message::{DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRun};
+use cicadalock_core::message::{
+    CustomerTotal, DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRun, DeskTotals,
+};
 use cicadalock_core::time::ClockTime;
 use proptest::prelude::*;
 use support::seeded;
@@ -217,6 +219,31 @@
     assert_eq!(grants(&desk.take_actions(now)), [(1, 2), (1, 1)]);
 }
 
+#[test]
+fn a_router_learns_what_all_routers_gave_a_customer() {
+    let (mut desk, now) = (DeskMachine::new(), ClockTime::from_millis(10_000));
+    for link in [1, 2] {
+        desk.receive(LinkId::new(link), hello(Vec::new()), now);
+        let lines = vec![CustomerTotal {
+            customer: 7,
+            received: 500.0,
+        }];
+        let wants_sums = link == 2;
+        let totals = DeskTotals { lines, wants_sums };
+        desk.receive(LinkId::new(link), DeskMessage::Totals(totals), now);
+    }
+    let actions = desk.take_actions(now);
+    let sums = actions.iter().find_map(|action| match action {
+        DeskAction::Send(link, DeskMessage::Sums(sums)) => Some((link.get(), sums.lines.clone())),
+        _ => None,
+    });
+    let expected = CustomerTotal {
+        customer: 7,
+        received: 1_000.0,
+    };
+    assert_eq!(sums, Some((2, vec![expected])));
+}
+
 #[test]
 fn runs_that_a_router_tells_of_on_its_return_take_their_slots() {
     let (mut desk, now) = (DeskMachine::new(), ClockTime::from_millis(10_000));
@@ -252,7 +279,11 @@
         assert_eq!(grants(&desk.take_actions(now)).len(), 2);
         let later = if is_silent {
             let later = now + Duration::from_secs(4);
-            desk.receive(LinkId::new(2), DeskMessage::Ping(Default::default()), later);
+            desk.receive(
+                LinkId::new(2),
+                DeskMessage::Totals(Default::default()),
+                later,
+            );
             let closes = desk
                 .take_actions(later)
                 .contains(&DeskAction::Close(LinkId::new(1)));
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -10,7 +10,9 @@
     RepeatDenial,
 };
 use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
-use cicadalock_core::message::{DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame};
+use cicadalock_core::message::{
+    CustomerTotal, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
+};
 use cicadalock_core::retry::RepeatBudget;
 use cicadalock_core::serving::{
     EndpointList, ListedEndpoint, PromptShape, ServiceTraits, ServingConfig,
@@ -285,12 +287,64 @@
     })
 }
 
+/// What desks are told of requests.
 fn told(actions: &[GatewayAction]) -> Vec<&DeskMessage> {
     let told = actions.iter().filter_map(|action| match action {
         GatewayAction::TellDesk { message, .. } => Some(message),
         _ => None,
     });
-    told.collect()
+    told.filter(|message| !matches!(message, DeskMessage::Totals(_)))
+        .collect()
+}
+
+/// Seen on floejtelaan-grown, deploy/days/sides.toml --seed 1004476357899: with half of the desks
+/// frozen routers decided alone, and a customer that others had served much was served again.
+#[test]
+fn a_router_that_decides_alone_knows_what_the_others_gave_customers() {
+    let mut machine = machine(1, 1, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    let lines = vec![CustomerTotal {
+        customer: 1,
+        received: 1e6,
+    }];
+    let sums = DeskMessage::Sums(DeskSums { lines });
+    machine.desk_told(&endpoint(0), sums, at(0));
+    machine.desk_down(&endpoint(0), at(0));
+    let of = |customer: u32| GatewayCall {
+        customer: CustomerId::new(customer),
+        ..call(at(0), true)
+    };
+    // The endpoint is taken, and two customers wait.
+    for (number, customer) in [(1, 3), (2, 1), (3, 2)] {
+        machine.submit(RequestId::new(number), of(customer), at(0));
+        machine.take_actions(at(0));
+    }
+    machine.end(RequestId::new(1), AttemptEnd::Complete, at(20));
+    let next = starts(machine.take_actions(at(20)));
+    assert_eq!(next.first().map(|(id, _)| *id), Some(RequestId::new(3)));
+}
+
+#[test]
+fn sums_are_asked_of_other_desks_each_time() {
+    let mut machine = machine(4, 8, Some(600_000));
+    for number in 0..4 {
+        machine.desk_told(&endpoint(number), state(0), at(0));
+    }
+    let mut asked = SortedMap::new();
+    for second in 1..=4 {
+        for action in machine.take_actions(at(second * 1_000)) {
+            if let GatewayAction::TellDesk {
+                endpoint,
+                message: DeskMessage::Totals(totals),
+            } = action
+                && totals.wants_sums
+            {
+                *asked.get_or_insert_with(endpoint, || 0) += 1;
+            }
+        }
+    }
+    let asked: Vec<(EndpointId, i32)> = asked.iter().map(|(id, n)| (id.clone(), *n)).collect();
+    assert_eq!(asked, [0, 1, 2, 3].map(|number| (endpoint(number), 2)));
 }
 
 #[test]
@@ -415,12 +469,24 @@
     for (lags, expected) in cases {
         let mut meter = LagMeter::default();
         for lag in lags {
-            meter.note(Duration::from_millis(*lag));
+            meter.note(Duration::from_millis(*lag), at(0));
         }
         assert_eq!(meter.is_behind(), expected, "{lags:?}");
     }
 }
 
+#[test]
+fn a_host_that_was_behind_leaves_new_callers_to_others_for_a_while() {
+    let mut meter = LagMeter::default();
+    for millis in [0, 100, 200] {
+        meter.note(Duration::from_millis(300), at(millis));
+    }
+    meter.note(Duration::ZERO, at(300));
+    assert!(!meter.is_behind());
+    assert!(meter.is_resting(at(300)));
+    assert!(!meter.is_resting(at(5_000)));
+}
+
 #[test]
 fn a_desk_that_returns_is_told_what_runs_and_asked_again() {
     let mut machine = machine(1, 8, Some(600_000));
--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -20,6 +20,9 @@
 /// Part of the other descriptors that callers' connections may use; the rest is for endpoints.
 const CALLER_PART: f64 = 0.6;
 
+/// Part of callers' connections from which on the balancer is to send new ones elsewhere.
+const CROWDED_PART: f64 = 0.8;
+
 /// A caller that gives no sign of life for ten seconds is gone.
 const CALLER_TIMES: SocketTimes = SocketTimes {
     idle: Duration::from_secs(5),
@@ -48,7 +51,9 @@
     let spare = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
     let limit = (spare as f64 * CALLER_PART) as usize;
     let mut tasks = JoinSet::new();
+    let crowded = (limit as f64 * CROWDED_PART) as usize;
     loop {
+        shared.is_crowded.set(tasks.len() > crowded);
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(_) = tasks.join_next() => continue,
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -85,7 +85,7 @@
         Ok(journey) => journey.run::<D>().await,
         Err(refusal) => refuse(&shared, &number, refusal, arrived),
     };
-    if shared.is_stopping.get() {
+    if shared.sends_callers_away() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -60,6 +60,8 @@
     pub(super) pool: ConnectionPool,
     pub(super) desks: DeskLinks,
     pub(super) is_stopping: Cell<bool>,
+    /// Nearly every connection that callers may have is open.
+    pub(super) is_crowded: Cell<bool>,
     lag: Cell<LagMeter>,
     waiters: RefCell<SortedMap<RequestId, oneshot::Sender<StartVerdict>>>,
     wake: Notify,
@@ -80,6 +82,7 @@
             pool: ConnectionPool::default(),
             desks: DeskLinks::default(),
             is_stopping: Cell::new(false),
+            is_crowded: Cell::new(false),
             lag: Cell::new(LagMeter::default()),
             waiters: RefCell::new(SortedMap::new()),
             wake: Notify::new(),
@@ -110,7 +113,13 @@
 
     /// Tells whether callers may be sent here.
     pub(super) fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.config.borrow().is_some() && self.is_current()
+        !self.sends_callers_away() && self.config.borrow().is_some() && self.is_current()
+    }
+
+    /// Tells whether callers are to open their next connection to another host.
+    pub(super) fn sends_callers_away(&self) -> bool {
+        let is_resting = self.lag.get().is_resting(self.now());
+        self.is_stopping.get() || self.is_crowded.get() || is_resting
     }
 
     /// Tells whether this host runs so late that new requests are better served by others.
@@ -127,7 +136,7 @@
             let lag = now.since(due);
             let was_behind = self.is_behind();
             let mut meter = self.lag.get();
-            meter.note(lag);
+            meter.note(lag, now);
             self.lag.set(meter);
             self.machine.borrow_mut().note_lag(lag, now);
             self.metrics.lag.observe(lag.as_secs_f64());
