--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -164,6 +164,11 @@
             }
         }
         for endpoint in silent {
+            // A process that ended would have reset its connection. A silent one sleeps or is cut
+            // off, with its host and so with the endpoint on it.
+            if let Some(state) = self.endpoints.get_mut(&endpoint) {
+                state.health.suspect(now);
+            }
             self.desk_down(&endpoint, now);
             self.actions.push(GatewayAction::CloseDesk(endpoint));
         }
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -447,6 +447,28 @@
     assert!(actions.contains(&GatewayAction::CloseDesk(endpoint(0))));
 }
 
+#[test]
+fn what_waits_for_a_silent_desk_goes_to_another_endpoint() {
+    let mut machine = machine(2, 8, Some(600_000));
+    machine.desk_told(&endpoint(0), state(0), at(0));
+    machine.desk_told(&endpoint(1), state(500), at(0));
+    machine.submit(RequestId::new(1), call(at(1_000), true), at(1_000));
+    let mut asked = Vec::new();
+    for millis in (1_000..=1_500).step_by(10) {
+        machine.desk_told(&endpoint(1), state(500), at(millis));
+        for action in machine.take_actions(at(millis)) {
+            if let GatewayAction::TellDesk {
+                endpoint,
+                message: DeskMessage::Ask(_),
+            } = action
+            {
+                asked.push(endpoint);
+            }
+        }
+    }
+    assert_eq!(asked, [endpoint(0), endpoint(1)]);
+}
+
 #[test]
 fn a_router_that_slept_reads_what_desks_said_before_it_judges_them() {
     let mut machine = machine(1, 8, Some(600_000));
