feat(soak): randomized faults around real routers and desks, judged by callers and endpoints

The first run of several seeds in one process failed: the second seed found the addresses of the first taken; each seed now has addresses of its own.

--- a/crates/trial/src/cli/flags.rs
+++ b/crates/trial/src/cli/flags.rs
@@ -40,6 +40,17 @@
             /// File with slopes, as docs/slopes.json.
             required --slopes slopes: PathBuf
         }
+        /// Run routers and desks under random faults and check what is promised.
+        cmd soak {
+            /// Seed of faults and requests, or the first of several.
+            optional --seed seed: u64
+            /// Number of seeds, one after the other.
+            optional --count count: u64
+            /// For how long faults come, in seconds.
+            optional --seconds seconds: u64
+            /// Where settings and logs go; those of seeds that break no promise are removed.
+            optional --folder folder: PathBuf
+        }
         /// Run a stand-in platform.
         cmd platform {
             /// Where to listen.
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -2,10 +2,11 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use super::flags::{Run, Trial, TrialCmd};
+use super::flags::{Run, Soak, Trial, TrialCmd};
 use crate::capacity::{print_capacity, print_slopes};
 use crate::report::{TrialReport, draw_report};
 use crate::scenario::{SCENARIOS, ScenarioOptions, SizeOptions, find_scenario, run_scenario};
+use crate::soak::{SoakOptions, run_soak};
 use crate::standin::{EngineOptions, ServiceOptions, run_engine, run_platform, run_service};
 
 /// Experiment that runs without further arguments.
@@ -33,6 +34,7 @@
             Ok(())
         }
         TrialCmd::Capacity(flags) => print_capacity(&flags.slopes),
+        TrialCmd::Soak(flags) => soak(&flags),
         TrialCmd::Platform(flags) => run_platform(flags.listen),
         TrialCmd::Engine(flags) => parse_span(&flags.token).and_then(|token| {
             run_engine(EngineOptions {
@@ -106,6 +108,39 @@
     Ok(())
 }
 
+/// Runs one soak after the other; fails if a promise was broken.
+fn soak(flags: &Soak) -> std::io::Result<()> {
+    let folder = flags.folder.clone();
+    let folder = folder.unwrap_or_else(|| std::env::temp_dir().join("cicadalock-soak"));
+    let first = flags.seed.unwrap_or_else(rand::random);
+    let mut broken = Vec::new();
+    for seed in (0..flags.count.unwrap_or(1)).map(|offset| first.wrapping_add(offset)) {
+        let options = SoakOptions {
+            seed,
+            length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+            program: std::env::current_exe()?,
+            folder: folder.join(format!("seed-{seed}")),
+        };
+        let report = run_soak(&options)?;
+        println!("{report}");
+        if report.broken.is_empty() {
+            std::fs::remove_dir_all(&options.folder)?;
+        } else {
+            let plan = report.plan.steps.iter().map(|step| format!("{step}\n"));
+            std::fs::write(options.folder.join("plan.txt"), plan.collect::<String>())?;
+            broken.push(seed);
+        }
+    }
+    if broken.is_empty() {
+        return Ok(());
+    }
+    let problem = format!(
+        "promises broken with seeds {broken:?}; logs in {}",
+        folder.display()
+    );
+    Err(std::io::Error::other(problem))
+}
+
 /// One line for each policy.
 fn print_comparison(reports: &[TrialReport]) {
     println!(
--- a/crates/trial/src/fleet/child.rs
+++ b/crates/trial/src/fleet/child.rs
@@ -31,6 +31,27 @@
         Ok(Self { child })
     }
 
+    /// Starts this same program with other arguments and one variable; its output goes to `log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn start_with<A: AsRef<OsStr>>(
+        program: &std::path::Path,
+        arguments: &[A],
+        variable: (&str, &OsStr),
+        log: std::fs::File,
+    ) -> std::io::Result<Self> {
+        let child = Command::new(program)
+            .args(arguments)
+            .env(variable.0, variable.1)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
     /// Id of the process.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -48,6 +69,16 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Tells whether the process has ended.
+    pub fn is_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Freezes the process.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod proxy;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 pub mod standin;
--- a/crates/trial/src/proxy/fault_proxy.rs
+++ b/crates/trial/src/proxy/fault_proxy.rs
@@ -47,7 +47,16 @@
     ///
     /// Fails if it cannot listen.
     pub fn start(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target)
+    }
+
+    /// Starts a proxy at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot listen.
+    pub fn start_at(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let shared = Arc::new(ProxyShared {
