feat(emulator): model engines and a fleet in virtual time, with a ceiling

Ruled out on the way: an agenda entry for each look made a run of 30 s take 202 s; each router and desk now has one due time (about 1 s).

--- a/crates/trial/src/cli/flags.rs
+++ b/crates/trial/src/cli/flags.rs
@@ -51,6 +51,19 @@
             /// Where settings and logs go; those of seeds that break no promise are removed.
             optional --folder folder: PathBuf
         }
+        /// Play a load in virtual time and print what its callers got.
+        cmd emulate {
+            /// File with the load, as loads/lending.toml.
+            required --load load: PathBuf
+            /// Seed of the load.
+            optional --seed seed: u64
+            /// How long requests come, in seconds.
+            optional --seconds seconds: u64
+            /// One router that hears everything at once and knows how long answers are.
+            optional --full-knowledge
+            /// Draw the credit over time into an SVG file.
+            optional --plot plot: PathBuf
+        }
         /// Run a stand-in platform.
         cmd platform {
             /// Where to listen.
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -2,8 +2,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use super::flags::{Run, Soak, Trial, TrialCmd};
+use super::flags::{Emulate, Run, Soak, Trial, TrialCmd};
 use crate::capacity::{print_capacity, print_slopes};
+use crate::emulator::{EmulatorOptions, LoadFile, draw_outcomes, emulate};
 use crate::report::{TrialReport, draw_report};
 use crate::scenario::{SCENARIOS, ScenarioOptions, SizeOptions, find_scenario, run_scenario};
 use crate::soak::{SoakOptions, run_soak};
@@ -35,6 +36,7 @@
         }
         TrialCmd::Capacity(flags) => print_capacity(&flags.slopes),
         TrialCmd::Soak(flags) => soak(&flags),
+        TrialCmd::Emulate(flags) => play(&flags),
         TrialCmd::Platform(flags) => run_platform(flags.listen),
         TrialCmd::Engine(flags) => parse_span(&flags.token).and_then(|token| {
             run_engine(EngineOptions {
@@ -108,6 +110,26 @@
     Ok(())
 }
 
+/// Plays a load in virtual time.
+fn play(flags: &Emulate) -> std::io::Result<()> {
+    let load: LoadFile = std::fs::read_to_string(&flags.load)?
+        .parse()
+        .map_err(std::io::Error::other)?;
+    let options = EmulatorOptions {
+        seed: flags.seed.unwrap_or(1),
+        length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+        has_full_knowledge: flags.full_knowledge,
+    };
+    let table = emulate(&load, &options).map_err(std::io::Error::other)?;
+    println!("{table}");
+    match &flags.plot {
+        Some(path) => {
+            draw_outcomes(&table, path).map_err(|error| std::io::Error::other(error.to_string()))
+        }
+        None => Ok(()),
+    }
+}
+
 /// Runs one soak after the other; fails if a promise was broken.
 fn soak(flags: &Soak) -> std::io::Result<()> {
     let folder = flags.folder.clone();
--- /dev/null
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -0,0 +1,469 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use cicadalock_core::desk::{DeskAction, DeskMachine};
+use cicadalock_core::gateway::{
+    AttemptEnd, GatewayAction, GatewayBounds, GatewayCall, GatewayMachine,
+};
+use cicadalock_core::id::{CustomerId, EndpointId, LinkId, RequestId, ServiceName, ZoneName};
+use cicadalock_core::message::DeskMessage;
+use cicadalock_core::serving::{EndpointList, ListedEndpoint, ServiceTraits, ServingConfig};
+use cicadalock_core::time::ClockTime;
+
+use super::engine_model::{EngineEvent, EngineModel, EngineRun};
+use super::load_draw::{DrawnCall, draw_load};
+use super::load_file::LoadFile;
+use super::outcome_table::{CallOutcome, OutcomeTable};
+
+/// Virtual time at which the load begins; machines count from zero as never.
+const START: ClockTime = ClockTime::from_millis(10_000);
+
+/// Longest part of the time left that a caller heeds an advice to come back.
+const HEEDED_PART: u32 = 3;
+
+/// Virtual time after the last request in which the rest may end.
+const TAIL: Duration = Duration::from_secs(15);
+
+/// What is to be played.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EmulatorOptions {
+    /// Seed of the load.
+    pub seed: u64,
+    /// How long requests come.
+    pub length: Duration,
+    /// One router that hears everything at once and knows how long answers are.
+    pub has_full_knowledge: bool,
+}
+
+impl Default for EmulatorOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            length: Duration::from_secs(30),
+            has_full_knowledge: false,
+        }
+    }
+}
+
+/// Something that happens at a point of virtual time.
+#[derive(Debug, Clone, PartialEq)]
+enum VirtualEvent {
+    Arrive(usize),
+    /// The caller leaves.
+    Deadline(usize),
+    RouterDue(usize),
+    DeskDue(usize),
+    ToDesk(usize, usize, DeskMessage),
+    ToRouter(usize, usize, DeskMessage),
+    ToEngine(usize, usize),
+    LeaveEngine(usize, usize),
+    StepEnd(usize),
+    Piece(usize, bool),
+}
+
+/// An entry of the agenda; its number keeps the order of what is due together.
+struct AgendaEntry {
+    at: ClockTime,
+    number: u64,
+    event: VirtualEvent,
+}
+
+struct VirtualEngine {
+    id: EndpointId,
+    desk: DeskMachine,
+    model: EngineModel,
+    is_stepping: bool,
+}
+
+struct VirtualFleet<'a> {
+    load: &'a LoadFile,
+    link: Duration,
+    calls: Vec<DrawnCall>,
+    outcomes: Vec<CallOutcome>,
+    /// Router and endpoint of each request that was started.
+    places: Vec<Option<usize>>,
+    routers: Vec<GatewayMachine>,
+    engines: Vec<VirtualEngine>,
+    /// When each router and each desk is next due; other entries of theirs are void.
+    due: (Vec<ClockTime>, Vec<ClockTime>),
+    agenda: BinaryHeap<Reverse<AgendaEntry>>,
+    count: u64,
+    now: ClockTime,
+}
+
+impl PartialEq for AgendaEntry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.number) == (other.at, other.number)
+    }
+}
+
+impl Eq for AgendaEntry {}
+
+impl PartialOrd for AgendaEntry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for AgendaEntry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// Plays a load and tells what its callers got.
+///
+/// # Errors
+///
+/// Fails if the core takes the fleet for impossible.
+pub fn emulate(load: &LoadFile, options: &EmulatorOptions) -> Result<OutcomeTable, String> {
+    let mut fleet = VirtualFleet::new(load, options)?;
+    fleet.play(START + options.length + TAIL);
+    let read_and_kept = fleet
+        .engines
+        .iter()
+        .map(|engine| engine.model.read_and_kept());
+    let read_and_kept = read_and_kept.fold((0, 0), |sum, each| (sum.0 + each.0, sum.1 + each.1));
+    Ok(OutcomeTable::new(
+        load,
+        &fleet.calls,
+        fleet.outcomes,
+        read_and_kept,
+    ))
+}
+
+impl<'a> VirtualFleet<'a> {
+    fn new(load: &'a LoadFile, options: &EmulatorOptions) -> Result<Self, String> {
+        let mut calls = draw_load(load, options.seed, options.length);
+        let (mut link, mut routers) = (
+            Duration::from_micros(load.fleet.link_us),
+            load.fleet.routers,
+        );
+        if options.has_full_knowledge {
+            (link, routers) = (Duration::ZERO, 1);
+            for call in &mut calls {
+                call.router = 0;
+                call.prompt.output_hint = Some(call.output);
+            }
+        }
+        let service: ServiceName = name("model")?;
+        let config = serving_config(load, &service)?;
+        let list = endpoint_list(load, &service)?;
+        let bounds = GatewayBounds {
+            repeat_ratio: 0.2,
+            repeat_window: Duration::from_secs(10),
+        };
+        let machines = (0..routers).map(|index| {
+            let zone: ZoneName = name(&format!("z{}", index % load.fleet.zones))?;
+            let mut machine = GatewayMachine::new(zone, bounds);
+            machine.set_endpoints(&list, &config, START);
+            Ok(machine)
+        });
+        let engines = list.iter().map(|(id, _)| VirtualEngine {
+            id: id.clone(),
+            desk: DeskMachine::new(),
+            model: EngineModel::new(load.engine.clone()),
+            is_stepping: false,
+        });
+        let mut fleet = Self {
+            load,
+            link,
+            outcomes: calls
+                .iter()
+                .map(|call| CallOutcome::new(START + call.at))
+                .collect(),
+            places: vec![None; calls.len()],
+            calls,
+            routers: machines.collect::<Result<_, String>>()?,
+            engines: engines.collect(),
+            due: (
+                vec![ClockTime::MAX; routers],
+                vec![ClockTime::MAX; load.fleet.engines],
+            ),
+            agenda: BinaryHeap::new(),
+            count: 0,
+            now: START,
+        };
+        fleet.connect();
+        for index in 0..fleet.calls.len() {
+            let at = START + fleet.calls[index].at;
+            let kind = &load.kinds[fleet.calls[index].kind];
+            fleet.plan(at, VirtualEvent::Arrive(index));
+            fleet.plan(at + kind.deadline(), VirtualEvent::Deadline(index));
+        }
+        Ok(fleet)
+    }
+
+    /// Lets every router greet every desk.
+    fn connect(&mut self) {
+        for router in 0..self.routers.len() {
+            for engine in 0..self.engines.len() {
+                let id = self.engines[engine].id.clone();
+                if let Some(hello) = self.routers[router].desk_hello(&id, "router", self.now) {
+                    let message = DeskMessage::Hello(hello);
+                    self.plan(self.now, VirtualEvent::ToDesk(router, engine, message));
+                }
+            }
+        }
+    }
+
+    fn plan(&mut self, at: ClockTime, event: VirtualEvent) {
+        self.count += 1;
+        let number = self.count;
+        self.agenda.push(Reverse(AgendaEntry { at, number, event }));
+    }
+
+    fn play(&mut self, end: ClockTime) {
+        while let Some(Reverse(entry)) = self.agenda.pop() {
+            if entry.at > end {
+                return;
+            }
+            self.now = entry.at;
+            self.happen(entry.event);
+        }
+    }
+
+    fn happen(&mut self, event: VirtualEvent) {
+        let now = self.now;
+        match event {
+            VirtualEvent::Arrive(call) => self.submit(call),
+            VirtualEvent::Deadline(call) => self.leave(call),
+            VirtualEvent::RouterDue(router) => {
+                if self.due.0[router] == now {
+                    self.due.0[router] = ClockTime::MAX;
+                    self.drive_router(router);
+                }
+            }
+            VirtualEvent::DeskDue(engine) => {
+                if self.due.1[engine] == now {
+                    self.due.1[engine] = ClockTime::MAX;
+                    self.drive_desk(engine);
+                }
+            }
+            VirtualEvent::ToDesk(router, engine, message) => {
+                let link = LinkId::new(router as u64 + 1);
+                self.engines[engine].desk.receive(link, message, now);
+                self.drive_desk(engine);
+            }
+            VirtualEvent::ToRouter(engine, router, message) => {
+                let id = self.engines[engine].id.clone();
+                self.routers[router].desk_told(&id, message, now);
+                self.drive_router(router);
+            }
+            VirtualEvent::ToEngine(engine, call) => {
+                let drawn = &self.calls[call];
+                let run = EngineRun {
+                    number: call as u64,
+                    prompt: drawn.prompt.clone(),
+                    output: drawn.output,
+                };
+                self.engines[engine].model.push(run);
+                self.step(engine);
+            }
+            VirtualEvent::LeaveEngine(engine, call) => {
+                self.engines[engine].model.cancel(call as u64);
+            }
+            VirtualEvent::StepEnd(engine) => {
+                self.engines[engine].is_stepping = false;
+                for event in self.engines[engine].model.end_step() {
+                    let (number, is_last) = match event {
+                        EngineEvent::Piece(number) => (number, false),
+                        EngineEvent::Last(number) => (number, true),
+                    };
+                    let piece = VirtualEvent::Piece(number as usize, is_last);
+                    self.plan(now + self.link, piece);
+                }
+                self.step(engine);
+            }
+            VirtualEvent::Piece(call, is_last) => self.pass(call, is_last),
+        }
+    }
+
+    fn submit(&mut self, call: usize) {
+        let drawn = &self.calls[call];
+        let kind = &self.load.kinds[drawn.kind];
+        let Ok(service) = "model".parse() else {
+            return;
+        };
+        let customer = CustomerId::new(drawn.customer as u32 + 1);
+        let arrived = self.outcomes[call].sent;
+        let gateway_call = GatewayCall::builder(service, customer, self.now)
+            .prompt(Some(drawn.prompt.clone()))
+            .objective(kind.objective(), Some(kind.pause()))
+            .deadline(arrived + kind.deadline())
+            .attempts(true, 2)
+            .build();
+        let router = drawn.router;
+        self.routers[router].submit(RequestId::new(call as u64), gateway_call, self.now);
+        self.drive_router(router);
+    }
+
+    /// The caller's time is over.
+    fn leave(&mut self, call: usize) {
+        if self.outcomes[call].is_ended() {
+            return;
+        }
+        self.outcomes[call].left = true;
+        let router = self.calls[call].router;
+        self.routers[router].withdraw(RequestId::new(call as u64), self.now);
+        if let Some(engine) = self.places[call] {
+            self.plan(
+                self.now + self.link,
+                VirtualEvent::LeaveEngine(engine, call),
+            );
+        }
+        self.drive_router(router);
+    }
+
+    /// Passes an event of a stream on to its caller.
+    fn pass(&mut self, call: usize, is_last: bool) {
+        let outcome = &mut self.outcomes[call];
+        if outcome.is_ended() {
+            return;
+        }
+        let is_first = outcome.first.is_none();
+        outcome.note_piece(self.now, is_last);
+        let (router, id) = (self.calls[call].router, RequestId::new(call as u64));
+        if is_first {
+            self.routers[router].first_event(id, self.now);
+        }
+        if is_last {
+            self.routers[router].end(id, AttemptEnd::Complete, self.now);
+        }
+        if is_first || is_last {
+            self.drive_router(router);
+        }
+    }
+
+    fn step(&mut self, engine: usize) {
+        if self.engines[engine].is_stepping {
+            return;
+        }
+        if let Some(span) = self.engines[engine].model.begin_step() {
+            self.engines[engine].is_stepping = true;
+            self.plan(self.now + span, VirtualEvent::StepEnd(engine));
+        }
+    }
+
+    fn drive_router(&mut self, router: usize) {
+        let now = self.now;
+        loop {
+            let actions = self.routers[router].take_actions(now);
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.carry_out(router, action);
+            }
+        }
+        if let Some(due) = self.routers[router].next_wake() {
+            let due = due.max(now + Duration::from_millis(1));
+            if due < self.due.0[router] {
+                self.due.0[router] = due;
+                self.plan(due, VirtualEvent::RouterDue(router));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, router: usize, action: GatewayAction) {
+        match action {
+            GatewayAction::TellDesk { endpoint, message } => {
+                if let Some(engine) = self.engine_of(&endpoint) {
+                    let event = VirtualEvent::ToDesk(router, engine, message);
+                    self.plan(self.now + self.link, event);
+                }
+            }
+            GatewayAction::Start {
+                request, endpoint, ..
+            } => {
+                let call = request.get() as usize;
+                if let Some(engine) = self.engine_of(&endpoint) {
+                    self.places[call] = Some(engine);
+                    self.plan(self.now + self.link, VirtualEvent::ToEngine(engine, call));
+                }
+            }
+            GatewayAction::Refuse {
+                request,
+                retry_after,
+                ..
+            } => self.refuse(request.get() as usize, retry_after),
+            GatewayAction::CloseDesk(_) => {}
+        }
+    }
+
+    /// A caller comes back once, if that is soon enough.
+    fn refuse(&mut self, call: usize, retry_after: Duration) {
+        let kind = &self.load.kinds[self.calls[call].kind];
+        let outcome = &mut self.outcomes[call];
+        let left = (outcome.sent + kind.deadline()).since(self.now);
+        if outcome.refusals == 0 && retry_after <= left / HEEDED_PART {
+            outcome.refusals = 1;
+            let routers = self.routers.len();
+            self.calls[call].router = (self.calls[call].router + 1) % routers;
+            self.plan(self.now + retry_after, VirtualEvent::Arrive(call));
+        } else {
+            outcome.refusals += 1;
+            outcome.is_refused = true;
+        }
+    }
+
+    fn drive_desk(&mut self, engine: usize) {
+        let now = self.now;
+        for action in self.engines[engine].desk.take_actions(now) {
+            if let DeskAction::Send(link, message) = action {
+                let router = link.get() as usize - 1;
+                let event = VirtualEvent::ToRouter(engine, router, message);
+                self.plan(now + self.link, event);
+            }
+        }
+        if let Some(due) = self.engines[engine].desk.next_wake() {
+            let due = due.max(now + Duration::from_millis(1));
+            if due < self.due.1[engine] {
+                self.due.1[engine] = due;
+                self.plan(due, VirtualEvent::DeskDue(engine));
+            }
+        }
+    }
+
+    fn engine_of(&self, endpoint: &EndpointId) -> Option<usize> {
+        let found = self
+            .engines
+            .binary_search_by(|engine| engine.id.cmp(endpoint));
+        found.ok()
+    }
+}
+
+fn serving_config(load: &LoadFile, service: &ServiceName) -> Result<ServingConfig, String> {
+    let traits = ServiceTraits {
+        health_path: "/".into(),
+        connections: 1,
+        engine_slots: Some(load.engine.slots),
+        engine_tokens: Some(load.engine.memory_tokens),
+    };
+    let config = ServingConfig::builder(1).service(service.clone(), traits);
+    config.build().map_err(|findings| format!("{findings:?}"))
+}
+
+fn endpoint_list(load: &LoadFile, service: &ServiceName) -> Result<EndpointList, String> {
+    let entries = (0..load.fleet.engines).map(|index| {
+        let listed = ListedEndpoint {
+            service: service.clone(),
+            address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
+            zone: name(&format!("z{}", index % load.fleet.zones))?,
+            slots: load.engine.slots,
+            is_draining: false,
+            cold: Duration::ZERO,
+            started: 1,
+        };
+        Ok((name(&format!("engine-{index:04}"))?, listed))
+    });
+    entries.collect()
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> Result<T, String>
+where
+    T::Err: std::fmt::Display,
+{
+    text.parse().map_err(|error: T::Err| error.to_string())
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -7,11 +7,14 @@
 //! | [`fleet`] | starts and stops the processes of an experiment |
 //! | [`load`] | callers |
 //! | [`scenario`] | experiments by name |
+//! | [`soak`] | random faults around routers and desks, and what is promised |
+//! | [`emulator`] | model engines and a fleet in virtual time |
 //! | [`report`] | measures, tables and plots |
 //! | [`capacity`] | what each role costs at the size to come |
 
 pub mod capacity;
 pub mod cli;
+pub mod emulator;
 pub mod fleet;
 pub mod load;
 pub mod proxy;
