--- a/crates/trial/src/soak/soak_bed.rs
+++ b/crates/trial/src/soak/soak_bed.rs
@@ -211,13 +211,13 @@
     pub(super) fn list_endpoint(&self, index: usize, state: &str) {
         let endpoint = &self.endpoints[index];
         let address = self.endpoint_proxies[index].address();
-        let key = format!("servers/{}", endpoint.id);
-        self.store.put(&key, &endpoint.entry_at(address, state));
+        let entry = endpoint.entry_at(address, state);
+        self.store.put_endpoint(&endpoint.id, &entry);
     }
 
     fn put_config(&self) {
         let text = config(self.version, &[&token_text(self.token)]);
-        self.store.put("op/config", &text);
+        self.store.put_config(&text);
     }
 
     fn slot(&mut self, process: SoakProcess) -> &mut ProcessSlot {
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -7,35 +7,20 @@
 use trial::soak::{CallKind, CallRecord, FaultPlan, SoakEvidence, SoakOptions, judge, run_soak};
 use yare::parameterized;
 
-const RUN_HEAD: &str = "GET / HTTP/1.1\r\nCicadalock-Tenant: school\r\n\r\n";
-
 fn call(kind: CallKind, status: u16, body: &str, is_whole: bool) -> CallRecord {
     let now = Instant::now();
-    let head =
-        "HTTP/1.1 200 X\r\nCicadalock-Request-Id: a-1\r\nCicadalock-Response-Stamp: i-1\r\n\r\n";
     CallRecord {
         number: "a-1".to_owned(),
         kind,
         token: 0,
         sent: now,
         ended: now,
-        answer: Some(Answer {
-            status,
-            head: head.to_owned(),
-            body: body.to_owned(),
-            is_whole,
-            took: Duration::ZERO,
-        }),
+        answer: Some(Answer::signed(status, "a-1", "i-1", body, is_whole)),
     }
 }
 
-fn run(number: &str, head: &str) -> (String, EndpointRun) {
-    let run = EndpointRun {
-        began: Instant::now(),
-        number: number.to_owned(),
-        head: head.to_owned(),
-    };
-    ("i-1".to_owned(), run)
+fn run(number: &str, token: Option<&str>) -> (String, EndpointRun) {
+    ("i-1".to_owned(), EndpointRun::now(number, "school", token))
 }
 
 fn promises(evidence: &SoakEvidence) -> Vec<&'static str> {
@@ -66,7 +51,7 @@
 fn the_judge_tells_kept_from_broken(record: CallRecord, runs: usize, expected: &[&str]) {
     let evidence = SoakEvidence {
         calls: vec![record],
-        runs: (0..runs).map(|_| run("a-1", RUN_HEAD)).collect(),
+        runs: (0..runs).map(|_| run("a-1", None)).collect(),
         ..SoakEvidence::default()
     };
     assert_eq!(promises(&evidence), expected);
@@ -74,10 +59,9 @@
 
 #[test]
 fn the_judge_finds_runs_of_nobody_and_tokens_that_were_passed_on() {
-    let with_token = RUN_HEAD.replace("\r\n\r\n", "\r\nAuthorization: Token t\r\n\r\n");
     let evidence = SoakEvidence {
         calls: vec![call(CallKind::Lookup, 200, "ok", true)],
-        runs: vec![run("a-1", &with_token), run("b-9", RUN_HEAD)],
+        runs: vec![run("a-1", Some("t")), run("b-9", None)],
         ..SoakEvidence::default()
     };
     let expected = [
@@ -91,7 +75,7 @@
 fn the_judge_finds_tokens_that_work_too_long() {
     let mut evidence = SoakEvidence {
         calls: vec![call(CallKind::Lookup, 200, "ok", true)],
-        runs: vec![run("a-1", RUN_HEAD)],
+        runs: vec![run("a-1", None)],
         ..SoakEvidence::default()
     };
     let sent = evidence.calls[0].sent;
