--- a/crates/trial/src/soak/soak_bed.rs
+++ b/crates/trial/src/soak/soak_bed.rs
@@ -147,7 +147,7 @@
     }
 
     /// Begins a fault.
-    pub(super) fn begin(&mut self, step: &FaultStep) -> io::Result<()> {
+    pub(super) fn begin(&mut self, step: &FaultStep) {
         match step.fault {
             SoakFault::Freeze(process) => self.with_child(process, ChildGuard::freeze),
             SoakFault::Kill(process) => self.slot(process).kill(),
@@ -171,7 +171,6 @@
             }
             SoakFault::Drain(endpoint) => self.list_endpoint(endpoint, "draining"),
         }
-        Ok(())
     }
 
     /// Ends a fault.
--- a/crates/trial/src/soak/soak_judge.rs
+++ b/crates/trial/src/soak/soak_judge.rs
@@ -10,7 +10,7 @@
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// Time after a caller left in which its request may still run.
-const LEAVE_TIME: Duration = Duration::from_millis(500);
+pub(super) const LEAVE_TIME: Duration = Duration::from_millis(500);
 
 /// What callers and endpoints saw of one soak.
 #[derive(Debug, Default)]
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -10,7 +10,7 @@
 use super::fault_plan::{FaultPlan, FaultStep};
 use super::soak_bed::{ProcessSlot, SoakBed};
 use super::soak_callers::{CallRecord, CallerDesk, lock, start_callers};
-use super::soak_judge::{Broken, SoakEvidence, judge};
+use super::soak_judge::{Broken, LEAVE_TIME, SoakEvidence, judge};
 
 /// Time after the last fault in which everything recovers: the longest patience of a caller, and
 /// what a router needs to read the store and to find desks again.
@@ -22,9 +22,6 @@
 /// Longest wait for processes that were told to stop.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
 
-/// Time in which endpoints notice that the last callers have left.
-const LEAVE_TIME: Duration = Duration::from_millis(500);
-
 /// Pause between two looks at faults and processes.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
@@ -109,7 +106,7 @@
         let now = start.elapsed();
         while waiting.last().is_some_and(|step| step.at <= now) {
             if let Some(step) = waiting.pop() {
-                bed.begin(&step)?;
+                bed.begin(&step);
                 desk.token.store(bed.token(), Ordering::SeqCst);
                 open.push(step);
             }
