refactor: one order for each grant, one drained connection, one default pause

Behaviour stays as it is. - A desk sorted its waiting customers twice for each grant, once to find what is held up and once to take the next; it now sorts once and hands the order to both. - A desk worked out its state for every message, and again for the log; now only when a router is due, and for the lines that name it. - Placing looked up each candidate's state a second time for its zone. - The end of a caller's connection after a drain stood in callers/port.rs and gateway/accept.rs; both now call callers/drained_connection.rs. The default pause stood in the gate and in placing. - GatewayMachine::usable had no caller; serve.rs asked the route's kind beside is_streaming; read_changes took a pair where two parameters say more.

--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -220,6 +220,9 @@
     }
 
     fn tell_state(&mut self, now: ClockTime) {
+        if !self.routers.values().any(|seat| seat.is_due(now)) {
+            return;
+        }
         let state = self.desk.state(now);
         let frame = DeskStateFrame {
             wait_ms: state.wait.as_millis() as u32,
@@ -227,7 +230,7 @@
             running: state.running,
         };
         for (link, seat) in self.routers.iter_mut() {
-            if now.since(seat.checked) < seat.interval() {
+            if !seat.is_due(now) {
                 continue;
             }
             seat.checked = now;
@@ -272,6 +275,11 @@
         self.forecast.at(now).abs_diff(state.wait) > FORECAST_ERROR || change > told * RATE_ERROR
     }
 
+    /// Tells whether to decide on telling the state.
+    fn is_due(&self, now: ClockTime) -> bool {
+        now.since(self.checked) >= self.interval()
+    }
+
     const fn interval(&self) -> Duration {
         if self.requests > 0 {
             STATE_INTERVALS.0
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -185,8 +185,8 @@
     ///
     /// Short prompts always fit somewhere; without the limit they would keep the next long one
     /// waiting until it is refused.
-    fn overtaking_limit(&self, received: impl Fn(CustomerId) -> f64, now: ClockTime) -> Duration {
-        let Some(first) = self.line.first(received, now) else {
+    fn overtaking_limit(&self, order: &[CustomerId], now: ClockTime) -> Duration {
+        let Some(first) = self.line.first(order, now) else {
             return Duration::MAX;
         };
         let work = work(first, self.rate);
@@ -203,9 +203,9 @@
         let mut admitted = Vec::new();
         while !self.line.is_empty() {
             let (gate, rate) = (&self.gate, self.rate);
-            let received = |customer| meter.received(customer, now);
-            let limit = self.overtaking_limit(received, now);
-            let next = self.line.take_next(received, now, |ask| {
+            let order = self.line.order(|customer| meter.received(customer, now));
+            let limit = self.overtaking_limit(&order, now);
+            let next = self.line.take_next(&order, now, |ask| {
                 let work = work(ask, rate);
                 work.read <= limit && gate.admits(&work, now)
             });
--- a/crates/cicadalock-core/src/desk/engine_gate.rs
+++ b/crates/cicadalock-core/src/desk/engine_gate.rs
@@ -15,7 +15,7 @@
 const BURST_PART: f64 = 0.7;
 
 /// Longest pause assumed of streams whose route tells none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
+pub(crate) const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
 
 /// Part of the endpoint's memory that may be filled with running requests.
 const MEMORY_PART: f64 = 0.9;
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -36,6 +36,7 @@
 pub use customer_meter::CustomerMeter;
 pub use desk_machine::{DeskAction, DeskMachine};
 pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
+pub(crate) use engine_gate::DEFAULT_PAUSE;
 pub use engine_gate::{EngineGate, GateLimits, ReadWork};
 pub use wait_forecast::WaitForecast;
 pub use wait_line::WaitLine;
--- a/crates/cicadalock-core/src/desk/wait_line.rs
+++ b/crates/cicadalock-core/src/desk/wait_line.rs
@@ -33,17 +33,17 @@
         found
     }
 
-    /// Takes the request that goes next: of the customer that received least, the first that fits.
+    /// Takes the request that goes next: of the first customer in `order`, the first that fits.
     ///
     /// Within a customer, requests that can still be on time go before those that cannot.
     pub fn take_next(
         &mut self,
-        received: impl Fn(CustomerId) -> f64,
+        order: &[CustomerId],
         now: ClockTime,
         fits: impl Fn(&DeskAsk) -> bool,
     ) -> Option<(RunKey, DeskAsk)> {
-        for customer in self.order(received) {
-            let Some(line) = self.customers.get_mut(&customer) else {
+        for customer in order {
+            let Some(line) = self.customers.get_mut(customer) else {
                 continue;
             };
             let timely = line
@@ -58,11 +58,10 @@
         None
     }
 
-    /// The first request of the customer that received least, among those still on time.
-    pub fn first(&self, received: impl Fn(CustomerId) -> f64, now: ClockTime) -> Option<&DeskAsk> {
-        let order = self.order(received);
-        let mut timely = order.into_iter().filter_map(|customer| {
-            let line = self.customers.get(&customer)?;
+    /// The first request of the first customer in `order`, among those still on time.
+    pub fn first(&self, order: &[CustomerId], now: ClockTime) -> Option<&DeskAsk> {
+        let mut timely = order.iter().filter_map(|customer| {
+            let line = self.customers.get(customer)?;
             line.iter()
                 .map(|(_, ask)| ask)
                 .find(|ask| now <= ask.latest)
@@ -71,7 +70,8 @@
     }
 
     /// Customers that wait, the one that received least first.
-    fn order(&self, received: impl Fn(CustomerId) -> f64) -> Vec<CustomerId> {
+    #[must_use]
+    pub fn order(&self, received: impl Fn(CustomerId) -> f64) -> Vec<CustomerId> {
         let customers = self.customers.keys();
         let mut order: Vec<(f64, CustomerId)> = customers
             .map(|customer| (received(*customer), *customer))
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -167,15 +167,6 @@
         self.move_stranded(now);
     }
 
-    /// Number of usable endpoints of a service.
-    #[must_use]
-    pub fn usable(&self, service: &ServiceName) -> usize {
-        let states = self.endpoints.values();
-        states
-            .filter(|state| state.listed.service == *service && state.is_usable())
-            .count()
-    }
-
     /// Takes in a caller's request.
     pub fn submit(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
         self.traffic_of(&call.service).budget.note_request(now);
--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -3,6 +3,7 @@
 use super::call::GatewayCall;
 use super::endpoint_state::EndpointState;
 use super::machine::GatewayMachine;
+use crate::desk::DEFAULT_PAUSE;
 use crate::id::EndpointId;
 use crate::place::{ReadRate, home_score};
 use crate::serving::PromptShape;
@@ -29,9 +30,6 @@
 /// Reading beyond which a prompt is long, as part of the longest pause of the streams beside it.
 const LONG_PART: f64 = 0.6;
 
-/// Longest pause assumed of routes that tell none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
-
 /// Added at endpoints that are for prompts of the other size.
 const STALL_PENALTY: Duration = Duration::from_millis(250);
 
@@ -74,16 +72,14 @@
         }
         let weight = call.prompt.as_ref();
         let weight = weight.map(|prompt| self.weigh(call, prompt, &candidates));
-        let plans = candidates.iter().map(|(id, state)| match &weight {
-            Some(weight) => self.plan_prompt(id, state, weight, now),
-            None => plan_application(id, state),
-        });
-        let far = |plan: &PlacePlan| {
-            let state = self.endpoints.get(&plan.endpoint);
-            state.is_some_and(|state| state.listed.zone != self.zone)
-        };
-        let plans = plans.map(|(cost, plan)| {
-            let cost = if far(&plan) { cost + FAR_COST } else { cost };
+        let plans = candidates.iter().map(|(id, state)| {
+            let (mut cost, plan) = match &weight {
+                Some(weight) => self.plan_prompt(id, state, weight, now),
+                None => plan_application(id, state),
+            };
+            if state.listed.zone != self.zone {
+                cost += FAR_COST;
+            }
             (cost, plan)
         });
         plans.min_by_key(|(cost, _)| *cost).map(|(_, plan)| plan)
--- a/crates/cicadalock-node/src/callers/mod.rs
+++ b/crates/cicadalock-node/src/callers/mod.rs
@@ -15,10 +15,12 @@
 mod answer;
 mod body;
 mod classify;
+mod drained_connection;
 mod handler;
 mod port;
 mod problem;
 
 pub(crate) use body::{BodyFault, read_body};
 pub use classify::parse_bearer;
+pub(crate) use drained_connection::serve_until_drained;
 pub use port::{CallerPort, PortBuilder};
--- a/crates/cicadalock-node/src/callers/port.rs
+++ b/crates/cicadalock-node/src/callers/port.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::drained_connection::serve_until_drained;
 use super::handler::CallHandler;
 use crate::clock::ProcessClock;
 use crate::hub::{HubInput, RouterInput};
@@ -149,13 +150,7 @@
         .max_headers(HEADER_LIMIT)
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        _ = connection.as_mut() => true,
-        () = drain.cancelled() => false,
-    };
-    if !ended {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
-    }
+    // Requests that run are not cut: the grace of the whole process bounds them.
+    let end = CancellationToken::new();
+    serve_until_drained(connection, &drain, &end).await;
 }
--- a/crates/cicadalock-node/src/desk/desk_daemon.rs
+++ b/crates/cicadalock-node/src/desk/desk_daemon.rs
@@ -225,14 +225,11 @@
     /// Carries out what the machine decided.
     fn drive(&self) {
         let now = self.now();
-        let (actions, state) = {
-            let mut machine = self.machine.borrow_mut();
-            (machine.take_actions(now), machine.desk().state(now))
-        };
+        let actions = self.machine.borrow_mut().take_actions(now);
         for action in actions {
             match action {
                 DeskAction::Send(link, message) => {
-                    self.log_decision(link, &message, state.wait, state.running);
+                    self.log_decision(link, &message, now);
                     let is_sent = self
                         .links
                         .borrow()
@@ -261,12 +258,13 @@
         }
     }
 
-    fn log_decision(&self, link: LinkId, message: &DeskMessage, wait: Duration, running: u32) {
+    fn log_decision(&self, link: LinkId, message: &DeskMessage, now: ClockTime) {
         let (event, number, come_back) = match message {
             DeskMessage::Grant(notice) => ("grant", notice.request, None),
             DeskMessage::Refuse(frame) => ("refuse", frame.request, Some(frame.come_back_ms)),
             _ => return,
         };
+        let state = self.machine.borrow().desk().state(now);
         let links = self.links.borrow();
         let router = links.get(&link).map(|seat| seat.router.as_str());
         self.log.write(
@@ -275,8 +273,8 @@
                 "router": router,
                 "number": number,
                 "come_back_ms": come_back,
-                "wait_ms": wait.as_millis() as u64,
-                "running": running,
+                "wait_ms": state.wait.as_millis() as u64,
+                "running": state.running,
             }),
         );
     }
--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -12,6 +12,7 @@
 use super::dialect::GatewayDialect;
 use super::serve::serve;
 use super::shared::GatewayShared;
+use crate::callers::serve_until_drained;
 use crate::process::SocketTimes;
 
 /// Descriptors that are not for connections: files, listeners, the runtime's own.
@@ -105,17 +106,5 @@
         .max_headers(HEADER_LIMIT)
         .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let is_ended = tokio::select! {
-        _ = connection.as_mut() => true,
-        () = drain.cancelled() => false,
-    };
-    if !is_ended {
-        connection.as_mut().graceful_shutdown();
-        tokio::select! {
-            // A caller whose connection fails has left.
-            _ = connection => {}
-            () = end.cancelled() => {}
-        }
-    }
+    serve_until_drained(connection, &drain, &end).await;
 }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cicadalock_core::gateway::{AttemptEnd, GatewayCall};
 use cicadalock_core::id::{CustomerId, CustomerName};
-use cicadalock_core::serving::{RouteConfig, RouteKind, ServingConfig};
+use cicadalock_core::serving::{RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -275,8 +275,7 @@
             Err(failure) => return Progress::Failed(failure, None),
         };
         let status = answer.response.status();
-        let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
-        if is_stream && status.is_success() {
+        if self.route.is_streaming() && status.is_success() {
             return Progress::Answered(self.relay::<D>(answer, order, guard));
         }
         let left = self.request.deadline.since(self.shared.now());
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -85,7 +85,7 @@
                 } else {
                     self.wait
                 };
-                self.read_changes((after, wait), began, &clock, &mut news)
+                self.read_changes(after, wait, began, &clock, &mut news)
             }
         };
         match read {
@@ -140,7 +140,8 @@
     /// Reads what changed and returns up to when everything is known.
     fn read_changes(
         &mut self,
-        (after, wait): (Revision, Duration),
+        after: Revision,
+        wait: Duration,
         began: ClockTime,
         clock: &impl Fn() -> ClockTime,
         news: &mut FollowerNews,
