--- a/crates/trial/src/emulator/outcome_table.rs
+++ b/crates/trial/src/emulator/outcome_table.rs
@@ -8,6 +8,7 @@
 
 use super::load_draw::DrawnCall;
 use super::load_file::{EngineSettings, LoadFile};
+use crate::report::percentile;
 
 /// Length of the windows in which credit is reckoned.
 const WINDOW: Duration = Duration::from_secs(2);
@@ -187,11 +188,7 @@
 
 fn percentiles(mut times: Vec<Duration>) -> (Duration, Duration) {
     times.sort_unstable();
-    let at = |part: f64| {
-        let index = (times.len() as f64 * part) as usize;
-        times.get(index).copied().unwrap_or_default()
-    };
-    (at(0.5), at(0.99))
+    (percentile(&times, 0.5), percentile(&times, 0.99))
 }
 
 /// Part of the credit that fits the engines' time: the requests with the greatest credit for it
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -78,10 +78,11 @@
 
 struct VirtualFleet<'a> {
     load: &'a LoadFile,
+    service: ServiceName,
     link: Duration,
     calls: Vec<DrawnCall>,
     outcomes: Vec<CallOutcome>,
-    /// Router and endpoint of each request that was started.
+    /// Index of the engine of each request that was started.
     places: Vec<Option<usize>>,
     routers: Vec<GatewayMachine>,
     engines: Vec<VirtualEngine>,
@@ -168,6 +169,7 @@
         });
         let mut fleet = Self {
             load,
+            service,
             link,
             outcomes: calls
                 .iter()
@@ -283,12 +285,9 @@
     fn submit(&mut self, call: usize) {
         let drawn = &self.calls[call];
         let kind = &self.load.kinds[drawn.kind];
-        let Ok(service) = "model".parse() else {
-            return;
-        };
         let customer = CustomerId::new(drawn.customer as u32 + 1);
         let arrived = self.outcomes[call].sent;
-        let gateway_call = GatewayCall::builder(service, customer, self.now)
+        let gateway_call = GatewayCall::builder(self.service.clone(), customer, self.now)
             .prompt(Some(drawn.prompt.clone()))
             .objective(kind.objective(), Some(kind.pause()))
             .deadline(arrived + kind.deadline())
--- a/crates/trial/src/fleet/child.rs
+++ b/crates/trial/src/fleet/child.rs
@@ -21,14 +21,9 @@
         arguments: &[A],
         log: Option<std::fs::File>,
     ) -> std::io::Result<Self> {
-        let log = log.map_or_else(Stdio::null, Stdio::from);
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()?;
-        Ok(Self { child })
+        let mut command = Command::new(program);
+        command.args(arguments).stdout(Stdio::null());
+        Self::spawn(command, log.map_or_else(Stdio::null, Stdio::from))
     }
 
     /// Starts this same program with other arguments and one variable; its output goes to `log`.
@@ -42,14 +37,10 @@
         variable: (&str, &OsStr),
         log: std::fs::File,
     ) -> std::io::Result<Self> {
-        let child = Command::new(program)
-            .args(arguments)
-            .env(variable.0, variable.1)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log)
-            .spawn()?;
-        Ok(Self { child })
+        let mut command = Command::new(program);
+        command.args(arguments).env(variable.0, variable.1);
+        command.stdout(log.try_clone()?);
+        Self::spawn(command, log.into())
     }
 
     /// Id of the process.
@@ -101,6 +92,11 @@
         None
     }
 
+    fn spawn(mut command: Command, errors: Stdio) -> std::io::Result<Self> {
+        let child = command.stdin(Stdio::null()).stderr(errors).spawn()?;
+        Ok(Self { child })
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             let _ = kill_process(pid, signal);
--- a/crates/trial/src/fleet/running.rs
+++ b/crates/trial/src/fleet/running.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -11,6 +11,7 @@
 use super::client::{get_json, put_text};
 use crate::proxy::FaultProxy;
 use crate::standin::{EffectEntry, UsageEntry};
+use crate::wall_clock::unix_millis;
 
 /// An endpoint of an experiment.
 #[derive(Debug)]
@@ -251,7 +252,7 @@
     /// Waits until every sidecar runs new keys that are minted now.
     #[must_use]
     pub fn wait_for_fresh_keys(&self, limit: Duration) -> bool {
-        self.wait_for_keys(limit, |after| u128::from(after) < unix_millis())
+        self.wait_for_keys(limit, |after| after < unix_millis())
     }
 
     /// Waits until the time after which keys are fresh satisfies `condition` at every sidecar.
@@ -383,8 +384,3 @@
         self.proxy.as_ref().map_or(self.listen, FaultProxy::address)
     }
 }
-
-fn unix_millis() -> u128 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis())
-}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -20,5 +20,7 @@
 pub mod proxy;
 pub mod report;
 pub mod scenario;
+mod shared_state;
 pub mod soak;
 pub mod standin;
+mod wall_clock;
--- a/crates/trial/src/proxy/fault_proxy.rs
+++ b/crates/trial/src/proxy/fault_proxy.rs
@@ -1,10 +1,12 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::shared_state::lock;
+
 /// Pause between two looks at whether a held direction is open again.
 const HOLD_PAUSE: Duration = Duration::from_millis(2);
 
@@ -188,7 +190,3 @@
         std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
     )
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/trial/src/report/callers.rs
+++ b/crates/trial/src/report/callers.rs
@@ -87,10 +87,11 @@
     (Some(mean), Some(least(&kept)))
 }
 
-pub(super) fn percentile(sorted: &[f64], part: f64) -> f64 {
+/// The value below which `part` of the values lie.
+pub(crate) fn percentile<T: Copy + Default>(sorted: &[T], part: f64) -> T {
     let index = (sorted.len() as f64 * part) as usize;
     sorted
         .get(index.min(sorted.len().saturating_sub(1)))
         .copied()
-        .unwrap_or(0.0)
+        .unwrap_or_default()
 }
--- a/crates/trial/src/report/mod.rs
+++ b/crates/trial/src/report/mod.rs
@@ -11,6 +11,7 @@
 mod traces;
 mod uses;
 
+pub(crate) use callers::percentile;
 pub use measure::{ControlCount, GroupCount, ReportInput, RoleUse, TrialReport, WaitFigures};
 pub use plot::draw_report;
 pub use traces::TraceCollector;
--- a/crates/trial/src/scenario/run.rs
+++ b/crates/trial/src/scenario/run.rs
@@ -1,9 +1,10 @@
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use super::catalogue::ScenarioEntry;
 use super::plan::{ScenarioOptions, ScenarioPlan};
 use crate::load::{CallerGroup, LoadRun, LoadStyle};
 use crate::report::{ReportInput, TraceCollector, TrialReport, process_uses};
+use crate::wall_clock::unix_millis;
 
 /// Longest wait for requests in progress when the load ends.
 const FINISH_LIMIT: Duration = Duration::from_secs(30);
@@ -90,10 +91,3 @@
         })
         .collect()
 }
-
-fn unix_millis() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
-}
--- a/crates/trial/src/soak/soak_bed.rs
+++ b/crates/trial/src/soak/soak_bed.rs
@@ -7,7 +7,7 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{
-    HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, call, config,
+    HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config, is_ready,
 };
 
 use super::fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess};
@@ -91,9 +91,7 @@
     }
 
     pub(super) fn is_ready(&self) -> bool {
-        std::net::TcpStream::connect(self.ready).is_ok()
-            && call(self.ready, "GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
-                .is_some_and(|answer| answer.status == 200)
+        is_ready(self.ready)
     }
 }
 
--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::shared_state::lock;
+
 /// Callers at each router.
 const CALLERS_EACH: usize = 4;
 
@@ -180,7 +182,3 @@
         .contains("connection: close");
     answer.is_whole && !closes
 }
-
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -9,8 +9,9 @@
 
 use super::fault_plan::{FaultPlan, FaultStep};
 use super::soak_bed::{ProcessSlot, SoakBed};
-use super::soak_callers::{CallRecord, CallerDesk, lock, start_callers};
+use super::soak_callers::{CallRecord, CallerDesk, start_callers};
 use super::soak_judge::{Broken, LEAVE_TIME, SoakEvidence, judge};
+use crate::shared_state::lock;
 
 /// Time after the last fault in which everything recovers: the longest patience of a caller, and
 /// what a router needs to read the store and to find desks again.
--- a/crates/trial/src/standin/ledger.rs
+++ b/crates/trial/src/standin/ledger.rs
@@ -1,9 +1,11 @@
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Mutex, MutexGuard};
 
 use cicadalock_core::collect::SortedMap;
 use serde::{Deserialize, Serialize};
 
+use crate::shared_state::lock;
+use crate::wall_clock::unix_millis;
+
 /// Effects that are remembered at most.
 const EFFECT_LIMIT: usize = 1_000_000;
 
@@ -127,14 +129,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, EffectRecords> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
-
-/// Milliseconds since 1970.
-pub(super) fn unix_millis() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    since.as_millis() as u64
-}
--- a/crates/trial/src/standin/platform.rs
+++ b/crates/trial/src/standin/platform.rs
@@ -8,6 +8,8 @@
 use serde_json::Value;
 use tiny_http::{Header, Method, Request, Response, Server};
 
+use crate::shared_state::lock;
+
 /// Document texts that are kept, to serve old ones.
 const HISTORY_LIMIT: usize = 10_000;
 
@@ -162,7 +164,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
