feat(gateway): log and count each change of an endpoint's entry

The endpoints line holds a count and the draining endpoints. Adds a line per change with state, start time, heartbeat and revision, the counter cicadalock_endpoint_changes_total{state}, and the heartbeat of the entry, which was not decoded. No decision reads them.

--- a/crates/cicadalock-core/benches/gateway.rs
+++ b/crates/cicadalock-core/benches/gateway.rs
@@ -28,6 +28,7 @@
         is_draining: false,
         cold_remaining: Duration::ZERO,
         started: 1,
+        heartbeat: 1,
     };
     let name = |number: usize| format!("i-{number}").parse().expect("valid name");
     let list: EndpointList = (0..endpoints)
--- a/crates/cicadalock-core/src/serving/endpoint_list.rs
+++ b/crates/cicadalock-core/src/serving/endpoint_list.rs
@@ -21,6 +21,8 @@
     pub cold_remaining: Duration,
     /// Start time of its process, in milliseconds since 1970; zero if unknown.
     pub started: u64,
+    /// Number of the heartbeat that wrote the entry. It counts up from the start of the process.
+    pub heartbeat: u64,
 }
 
 /// All listed endpoints, by the id of their incarnation.
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -45,6 +45,7 @@
         is_draining: false,
         cold_remaining: Duration::ZERO,
         started: 1,
+        heartbeat: 1,
     };
     (0..count)
         .map(|number| (endpoint(number), entry(number)))
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
 
 use super::accept::accept_all;
 use super::dialect::GatewayDialect;
-use super::gateway_metrics::EndLabels;
+use super::gateway_metrics::{EndLabels, StateLabels};
 use super::gateway_settings::GatewaySettings;
 use super::metrics_port::MetricsPort;
 use super::ready_port::serve_ready;
@@ -212,6 +212,24 @@
             json!({"version": config.version(), "routes": config.routes().len(), "revision": update.revision.get()}),
         );
     }
+    for change in &update.changes {
+        let state = change.kind.name();
+        shared
+            .metrics
+            .endpoint_changes
+            .get_or_create(&StateLabels { state })
+            .inc();
+        shared.log.write(
+            "endpoint",
+            json!({
+                "endpoint": change.endpoint.as_str(),
+                "state": state,
+                "started": change.started,
+                "heartbeat": change.heartbeat,
+                "revision": update.revision.get(),
+            }),
+        );
+    }
     if let Some(list) = &update.endpoints {
         let draining = list.iter().filter(|(_, entry)| entry.is_draining);
         let draining: Vec<&str> = draining.map(|(id, _)| id.as_str()).collect();
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -20,6 +20,8 @@
     pub(super) connects: Counter,
     /// Reads of the store, by result.
     pub(super) reads: Family<EndLabels, Counter>,
+    /// Changes of endpoints' entries, by the new state.
+    pub(super) endpoint_changes: Family<StateLabels, Counter>,
     /// Requests that are waiting or running in the gateway.
     pub(super) held: Gauge,
     /// Log lines that were dropped instead of written.
@@ -47,6 +49,12 @@
     pub(super) end: String,
 }
 
+/// Label for the new state of an endpoint's entry.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct StateLabels {
+    pub(super) state: &'static str,
+}
+
 impl GatewayMetrics {
     pub(super) fn new() -> Self {
         // 1 ms to 16 s, doubling.
@@ -58,6 +66,7 @@
             repeats: Counter::default(),
             connects: Counter::default(),
             reads: Family::default(),
+            endpoint_changes: Family::default(),
             held: Gauge::default(),
             dropped_lines: Gauge::default(),
             lag: latency(),
@@ -83,6 +92,11 @@
             metrics.connects.clone(),
         );
         registry.register("store_reads", "Reads of the store", metrics.reads.clone());
+        registry.register(
+            "endpoint_changes",
+            "Changes of endpoints' entries",
+            metrics.endpoint_changes.clone(),
+        );
         registry.register("held", "Requests in the gateway", metrics.held.clone());
         registry.register(
             "dropped_lines",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod daemon;
 mod desk_links;
 mod dialect;
+mod endpoint_change;
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_settings;
@@ -27,6 +28,7 @@
 
 pub use daemon::run_gateway;
 pub use dialect::{AnswerFields, ForwardContext, GatewayDialect, RequestFields};
+pub use endpoint_change::{ChangeKind, EndpointChange};
 pub use event_splitter::EventSplitter;
 pub use gateway_settings::{GatewaySettings, GatewayTimes, SettingsBuilder};
 pub use platform_store::{
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -6,6 +6,7 @@
 use cicadalock_core::serving::{EndpointList, RouteFinding, ServingConfig};
 use cicadalock_core::time::ClockTime;
 
+use super::endpoint_change::{ChangeKind, EndpointChange};
 use super::platform_store::{
     PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
@@ -22,6 +23,8 @@
     pub config: Option<Arc<ServingConfig>>,
     /// All endpoints, if any of them or the configuration changed.
     pub endpoints: Option<EndpointList>,
+    /// What changed in the entries of endpoints, in order; empty for the first complete read.
+    pub changes: Vec<EndpointChange>,
     /// Time up to which all changes are known; `None` if the read failed.
     pub confirmed_at: Option<ClockTime>,
     /// Revision up to which the store was read; zero until all pages have been read.
@@ -99,7 +102,7 @@
             }
             Err(error) => self.record_failure(error, started_at, &mut update),
         }
-        self.apply_due_removals(clock());
+        self.apply_due_removals(clock(), &mut update);
         update.revision = self.revision.unwrap_or_default();
         if std::mem::take(&mut self.has_endpoint_changes) {
             update.endpoints = Some(self.endpoints.clone());
@@ -111,6 +114,7 @@
     fn read_all(&mut self, now: ClockTime, update: &mut StoreUpdate) -> Result<(), StoreError> {
         let mut after: Option<String> = None;
         let mut first_revision = None;
+        let is_first = self.endpoints.is_empty();
         let mut listed_ids: Vec<EndpointId> = Vec::new();
         loop {
             let page: StorePage = self.store.page(after.as_deref())?;
@@ -136,7 +140,10 @@
             .cloned()
             .collect();
         for id in missing {
-            self.remove_endpoint(id, now);
+            self.remove_endpoint(id, now, update);
+        }
+        if is_first {
+            update.changes.clear();
         }
         self.revision = first_revision;
         Ok(())
@@ -156,7 +163,7 @@
         for change in changes {
             match change {
                 StoreChange::Written(document) => self.apply_document(document, update),
-                StoreChange::EndpointRemoved(id) => self.remove_endpoint(id, clock()),
+                StoreChange::EndpointRemoved(id) => self.remove_endpoint(id, clock(), update),
                 StoreChange::OtherRemoved => {}
             }
         }
@@ -183,13 +190,21 @@
             StoreDocument::Endpoint(id, Ok(endpoint)) => {
                 self.pending_removals.remove(&id);
                 if self.endpoints.get(&id) != Some(&endpoint) {
+                    let kind = if endpoint.is_draining {
+                        ChangeKind::Draining
+                    } else {
+                        ChangeKind::Ready
+                    };
+                    update
+                        .changes
+                        .push(EndpointChange::new(id.clone(), kind, &endpoint));
                     self.endpoints.insert(id, endpoint);
                     self.has_endpoint_changes = true;
                 }
             }
             StoreDocument::Endpoint(id, Err(problem)) => {
                 update.problems.push(format!("endpoint `{id}`: {problem}"));
-                self.has_endpoint_changes |= self.endpoints.remove(&id).is_some();
+                self.drop_endpoint(id, ChangeKind::Unreadable, update);
             }
             StoreDocument::Other => {}
         }
@@ -209,17 +224,29 @@
         }
     }
 
-    fn remove_endpoint(&mut self, id: EndpointId, now: ClockTime) {
+    fn remove_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
         if now >= self.grace_until && self.failing_since.is_none() {
-            self.has_endpoint_changes |= self.endpoints.remove(&id).is_some();
-        } else if self.endpoints.contains_key(&id) {
+            self.drop_endpoint(id, ChangeKind::Removed, update);
+        } else if let Some(listed) = self.endpoints.get(&id) {
+            update.changes.push(EndpointChange::new(
+                id.clone(),
+                ChangeKind::Deferred,
+                listed,
+            ));
             // During an outage this time is a placeholder: no removal is applied until it ends, and
             // `record_success` then sets the time.
             self.pending_removals.insert(id, self.grace_until);
         }
     }
 
-    fn apply_due_removals(&mut self, now: ClockTime) {
+    fn drop_endpoint(&mut self, id: EndpointId, kind: ChangeKind, update: &mut StoreUpdate) {
+        if let Some(listed) = self.endpoints.remove(&id) {
+            self.has_endpoint_changes = true;
+            update.changes.push(EndpointChange::new(id, kind, &listed));
+        }
+    }
+
+    fn apply_due_removals(&mut self, now: ClockTime, update: &mut StoreUpdate) {
         if self.failing_since.is_some() {
             return;
         }
@@ -231,7 +258,7 @@
             .collect();
         for id in due {
             self.pending_removals.remove(&id);
-            self.has_endpoint_changes |= self.endpoints.remove(&id).is_some();
+            self.drop_endpoint(id, ChangeKind::Removed, update);
         }
     }
 
--- a/crates/cicadalock-node/tests/store_follower.rs
+++ b/crates/cicadalock-node/tests/store_follower.rs
@@ -90,6 +90,7 @@
         is_draining,
         cold_remaining: Duration::ZERO,
         started: 0,
+        heartbeat: 1,
     };
     StoreDocument::Endpoint(id(name), Ok(listed))
 }
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -466,6 +466,7 @@
             is_draining: false,
             cold_remaining: Duration::ZERO,
             started: 1,
+            heartbeat: 1,
         };
         Ok((name(&format!("engine-{index:04}"))?, listed))
     });
