fix(gateway): the end of a deferred removal no longer waits for the next read of the store

What callers saw: requests went to an endpoint up to 1.5 s after its deferred removal was due. Change: a removed entry that may be renewed stays in the list as missing, with the time from which the endpoint counts as gone. The machine compares that time wherever it chooses an endpoint and moves waiting requests when it passes. An endpoint that was draining is dropped at once. Evidence: a_missing_endpoint_gets_no_request_after_its_time_although_no_list_follows and requests_that_wait_for_a_missing_endpoint_move_when_its_time_is_over fail when the comparison is taken out.

--- a/crates/cicadalock-core/src/gateway/endpoint_state.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -58,9 +58,9 @@
         self.listed = listed;
     }
 
-    /// Returns whether new requests may be sent to the endpoint.
-    pub(super) const fn is_usable(&self) -> bool {
-        !self.listed.is_draining && !self.is_replaced
+    /// Returns whether new requests may be sent to the endpoint at `now`.
+    pub(super) fn is_usable(&self, now: ClockTime) -> bool {
+        self.listed.state.is_available(now) && !self.is_replaced
     }
 
     pub(super) fn is_suspect(&self, now: ClockTime) -> bool {
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -10,7 +10,7 @@
 use crate::message::{DeskMessage, DeskNotice};
 use crate::place::PrefixMemory;
 use crate::retry::RetryWindow;
-use crate::serving::{EndpointList, ServingConfig};
+use crate::serving::{EndpointList, ListingState, ServingConfig};
 use crate::time::ClockTime;
 
 /// Interval between checks of waiting requests.
@@ -63,6 +63,8 @@
     pub(super) requests: SortedMap<RequestId, GatewayRequest>,
     pub(super) actions: Vec<GatewayAction>,
     last_sweep: ClockTime,
+    /// Earliest time from which a missing endpoint counts as gone.
+    next_expiry: Option<ClockTime>,
     /// When customers' totals were last sent, and the number of sums requested so far.
     pub(super) last_exchange: ClockTime,
     pub(super) sums_requested: usize,
@@ -141,6 +143,7 @@
             requests: SortedMap::new(),
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
+            next_expiry: None,
             last_exchange: ClockTime::default(),
             sums_requested: 0,
             lagged_at: ClockTime::default(),
@@ -166,6 +169,7 @@
         }
         self.endpoints.retain(|id, _| list.contains_key(id));
         self.memory.retain(|id| list.contains_key(id));
+        self.update_next_expiry(now);
         self.reassign_stranded(now);
     }
 
@@ -299,6 +303,7 @@
                 now,
             );
             self.last_sweep = now;
+            self.expire_missing(now);
             self.refuse_overdue(now);
             self.exchange_totals(now);
             self.drop_silent_desks(now);
@@ -401,6 +406,25 @@
         }
     }
 
+    /// Moves the requests that wait for missing endpoints whose time is over.
+    fn expire_missing(&mut self, now: ClockTime) {
+        if self.next_expiry.is_some_and(|expiry| now >= expiry) {
+            self.update_next_expiry(now);
+            self.reassign_stranded(now);
+        }
+    }
+
+    fn update_next_expiry(&mut self, now: ClockTime) {
+        let expiries = self
+            .endpoints
+            .values()
+            .filter_map(|state| match state.listed.state {
+                ListingState::Missing { until } => until.filter(|until| now < *until),
+                ListingState::Ready | ListingState::Draining => None,
+            });
+        self.next_expiry = expiries.min();
+    }
+
     /// Places waiting requests again whose endpoint is no longer usable.
     fn reassign_stranded(&mut self, now: ClockTime) {
         let stranded: Vec<RequestId> = self
@@ -409,7 +433,7 @@
             .filter(|(_, request)| !matches!(request.phase, GatewayPhase::Running { .. }))
             .filter(|(_, request)| {
                 let state = self.endpoints.get(&request.plan.endpoint);
-                state.is_none_or(|state| !state.is_usable())
+                state.is_none_or(|state| !state.is_usable(now))
             })
             .map(|(id, _)| *id)
             .collect();
--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -67,7 +67,9 @@
     /// Suspected endpoints are used only if all candidates are suspected.
     pub(super) fn plan(&self, call: &GatewayCall, now: ClockTime) -> Option<PlacementPlan> {
         let usable = self.endpoints.iter().filter(|(id, state)| {
-            state.listed.service == call.service && state.is_usable() && !call.tried.contains(*id)
+            state.listed.service == call.service
+                && state.is_usable(now)
+                && !call.tried.contains(*id)
         });
         let mut candidates: Vec<Candidate<'_>> = usable.collect();
         if candidates.iter().any(|(_, state)| !state.is_suspect(now)) {
--- a/crates/cicadalock-core/src/serving/mod.rs
+++ b/crates/cicadalock-core/src/serving/mod.rs
@@ -25,7 +25,7 @@
 mod route_table;
 mod serving_config;
 
-pub use endpoint_list::{EndpointList, ListedEndpoint};
+pub use endpoint_list::{EndpointList, ListedEndpoint, ListingState};
 pub use freshness::StoreFreshness;
 pub use prompt::{PromptPart, PromptShape, ShapeError};
 pub use route::{RouteBuilder, RouteConfig, RouteFinding, RouteKind, RouteTarget};
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use cicadalock_core::serving::ListingState;
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -231,7 +232,9 @@
         );
     }
     if let Some(list) = &update.endpoints {
-        let draining = list.iter().filter(|(_, entry)| entry.is_draining);
+        let draining = list
+            .iter()
+            .filter(|(_, entry)| entry.state == ListingState::Draining);
         let draining: Vec<&str> = draining.map(|(id, _)| id.as_str()).collect();
         shared.log.write(
             "endpoints",
--- a/crates/cicadalock-node/src/gateway/endpoint_change.rs
+++ b/crates/cicadalock-node/src/gateway/endpoint_change.rs
@@ -1,5 +1,5 @@
 use cicadalock_core::id::EndpointId;
-use cicadalock_core::serving::ListedEndpoint;
+use cicadalock_core::serving::{ListedEndpoint, ListingState};
 
 /// What happened to the entry of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,7 +11,7 @@
     /// It was replaced by one that cannot be decoded.
     Unreadable,
     /// It was removed, perhaps only because it could not be renewed during an outage of the store.
-    Deferred,
+    Missing,
     /// It was removed, and the endpoint is no longer listed.
     Removed,
 }
@@ -37,13 +37,24 @@
             Self::Ready => "ready",
             Self::Draining => "draining",
             Self::Unreadable => "unreadable",
-            Self::Deferred => "deferred",
+            Self::Missing => "missing",
             Self::Removed => "removed",
         }
     }
 }
 
 impl EndpointChange {
+    /// Creates a change to the state that `listed` has.
+    #[must_use]
+    pub const fn of(endpoint: EndpointId, listed: &ListedEndpoint) -> Self {
+        let kind = match listed.state {
+            ListingState::Ready => ChangeKind::Ready,
+            ListingState::Draining => ChangeKind::Draining,
+            ListingState::Missing { .. } => ChangeKind::Missing,
+        };
+        Self::new(endpoint, kind, listed)
+    }
+
     /// Creates a change of the entry that `listed` was decoded from.
     #[must_use]
     pub const fn new(endpoint: EndpointId, kind: ChangeKind, listed: &ListedEndpoint) -> Self {
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -3,7 +3,9 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::id::{EndpointId, Revision};
-use cicadalock_core::serving::{EndpointList, RouteFinding, ServingConfig};
+use cicadalock_core::serving::{
+    EndpointList, ListedEndpoint, ListingState, RouteFinding, ServingConfig,
+};
 use cicadalock_core::time::ClockTime;
 
 use super::endpoint_change::{ChangeKind, EndpointChange};
@@ -51,8 +53,6 @@
     revision: Option<Revision>,
     config: Option<Arc<ServingConfig>>,
     endpoints: EndpointList,
-    /// Removals that are not applied yet, with the time at which each becomes due.
-    pending_removals: SortedMap<EndpointId, ClockTime>,
     /// Time of the first failure since the last successful read.
     failing_since: Option<ClockTime>,
     grace_until: ClockTime,
@@ -69,7 +69,6 @@
             revision: None,
             config: None,
             endpoints: SortedMap::new(),
-            pending_removals: SortedMap::new(),
             failing_since: None,
             grace_until: ClockTime::default(),
             has_endpoint_changes: false,
@@ -102,7 +101,7 @@
             }
             Err(error) => self.record_failure(error, started_at, &mut update),
         }
-        self.apply_due_removals(clock(), &mut update);
+        self.drop_expired(clock(), &mut update);
         update.revision = self.revision.unwrap_or_default();
         if std::mem::take(&mut self.has_endpoint_changes) {
             update.endpoints = Some(self.endpoints.clone());
@@ -188,16 +187,10 @@
                 }
             },
             StoreDocument::Endpoint(id, Ok(endpoint)) => {
-                self.pending_removals.remove(&id);
                 if self.endpoints.get(&id) != Some(&endpoint) {
-                    let kind = if endpoint.is_draining {
-                        ChangeKind::Draining
-                    } else {
-                        ChangeKind::Ready
-                    };
                     update
                         .changes
-                        .push(EndpointChange::new(id.clone(), kind, &endpoint));
+                        .push(EndpointChange::of(id.clone(), &endpoint));
                     self.endpoints.insert(id, endpoint);
                     self.has_endpoint_changes = true;
                 }
@@ -225,17 +218,19 @@
     }
 
     fn remove_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
-        if now >= self.grace_until && self.failing_since.is_none() {
+        let is_outage = self.failing_since.is_some();
+        let Some(listed) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        let may_be_renewed = listed.state != ListingState::Draining;
+        if may_be_renewed && (is_outage || now < self.grace_until) {
+            // The end of the outage sets the time.
+            let until = (!is_outage).then_some(self.grace_until);
+            listed.state = ListingState::Missing { until };
+            self.has_endpoint_changes = true;
+            update.changes.push(EndpointChange::of(id, listed));
+        } else {
             self.drop_endpoint(id, ChangeKind::Removed, update);
-        } else if let Some(listed) = self.endpoints.get(&id) {
-            update.changes.push(EndpointChange::new(
-                id.clone(),
-                ChangeKind::Deferred,
-                listed,
-            ));
-            // During an outage this time is a placeholder: no removal is applied until it ends, and
-            // `record_success` then sets the time.
-            self.pending_removals.insert(id, self.grace_until);
         }
     }
 
@@ -246,28 +241,36 @@
         }
     }
 
-    fn apply_due_removals(&mut self, now: ClockTime, update: &mut StoreUpdate) {
-        if self.failing_since.is_some() {
-            return;
-        }
-        let due: Vec<EndpointId> = self
-            .pending_removals
+    /// Drops the missing endpoints whose time is over.
+    fn drop_expired(&mut self, now: ClockTime, update: &mut StoreUpdate) {
+        let gone = |listed: &ListedEndpoint| !listed.state.is_available(now) && listed.is_missing();
+        let gone: Vec<EndpointId> = self
+            .endpoints
             .iter()
-            .filter(|(_, due_at)| now >= **due_at)
+            .filter(|(_, listed)| gone(listed))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in due {
-            self.pending_removals.remove(&id);
+        for id in gone {
             self.drop_endpoint(id, ChangeKind::Removed, update);
         }
     }
 
+    /// Sets the time from which missing endpoints count as gone.
+    fn set_expiry(&mut self, expiry: Option<ClockTime>) {
+        for listed in self
+            .endpoints
+            .values_mut()
+            .filter(|listed| listed.is_missing())
+        {
+            listed.state = ListingState::Missing { until: expiry };
+            self.has_endpoint_changes = true;
+        }
+    }
+
     fn record_success(&mut self, now: ClockTime, update: &mut StoreUpdate) {
         if let Some(since) = self.failing_since.take() {
             self.grace_until = now + REREGISTRATION_GRACE;
-            for due_at in self.pending_removals.values_mut() {
-                *due_at = self.grace_until;
-            }
+            self.set_expiry(Some(self.grace_until));
             update.ended_outage = Some(now.since(since));
         }
     }
@@ -285,7 +288,11 @@
             return;
         }
         let is_first = self.failing_since.is_none();
-        self.failing_since.get_or_insert(started_at);
+        if is_first {
+            self.failing_since = Some(started_at);
+            // Missing entries cannot be renewed while the store is unavailable.
+            self.set_expiry(None);
+        }
         update.failure = Some((error, is_first));
     }
 }
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -8,7 +8,9 @@
 };
 use cicadalock_core::id::{CustomerId, EndpointId, LinkId, RequestId, ServiceName, ZoneName};
 use cicadalock_core::message::DeskMessage;
-use cicadalock_core::serving::{EndpointList, ListedEndpoint, ServiceTraits, ServingConfig};
+use cicadalock_core::serving::{
+    EndpointList, ListedEndpoint, ListingState, ServiceTraits, ServingConfig,
+};
 use cicadalock_core::time::ClockTime;
 
 use super::engine_model::{EngineEvent, EngineModel, EngineRequest};
@@ -463,7 +465,7 @@
             address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
             zone: name(&format!("z{}", index % load.fleet.zones))?,
             slots: load.engine.slots,
-            is_draining: false,
+            state: ListingState::Ready,
             cold_remaining: Duration::ZERO,
             started: 1,
             heartbeat: 1,
