fix(gateway): a start that was decided before an endpoint left is not carried out after it

Cause: the machine looked at the list when it placed a request and when the list changed. Change: expiry is checked before every action and every message of a desk; an attempt checks the endpoint again right before it sends and ends as endpoint-left, which runs nothing, uses no retry budget and moves the request. Evidence: a_grant_that_arrives_after_the_time_of_a_missing_endpoint_starts_nothing and the property test, which now draws missing endpoints and lets time pass between events, fail without the first check. The late send was found by reading; no run has shown it.

--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -44,6 +44,8 @@
     Abandoned,
     /// The endpoint was not reached; the request did not run.
     NotReached,
+    /// The endpoint stopped taking requests before this one was sent.
+    EndpointLeft,
     /// The endpoint reported that it is full; the request did not run.
     Full,
     /// Another incarnation answered at the address; the request did not run.
@@ -127,10 +129,16 @@
 }
 
 impl AttemptEnd {
+    /// Returns whether the request was sent, in whole or in part.
+    #[must_use]
+    pub const fn is_sent(self) -> bool {
+        !matches!(self, Self::NotReached | Self::EndpointLeft)
+    }
+
     /// Returns whether the request is known not to have run.
     #[must_use]
     pub const fn is_not_run(self) -> bool {
-        matches!(self, Self::NotReached | Self::Full | Self::Misdirected)
+        !self.is_sent() || matches!(self, Self::Full | Self::Misdirected)
     }
 
     /// Returns a stable short name for logs.
@@ -140,6 +148,7 @@
             Self::Complete => "complete",
             Self::Abandoned => "abandoned",
             Self::NotReached => "not-reached",
+            Self::EndpointLeft => "endpoint-left",
             Self::Full => "full",
             Self::Misdirected => "misdirected",
             Self::Failed => "failed",
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -195,6 +195,13 @@
         }
     }
 
+    /// Returns whether new requests may be sent to an endpoint at `now`.
+    #[must_use]
+    pub fn is_usable(&self, endpoint: &EndpointId, now: ClockTime) -> bool {
+        let state = self.endpoints.get(endpoint);
+        state.is_some_and(|state| state.is_usable(now))
+    }
+
     /// Adds a caller's request and counts it towards the retry budget.
     pub fn submit(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
         self.traffic_entry(&call.service).budget.record_request(now);
@@ -257,7 +264,7 @@
             state.own_requests = state.own_requests.saturating_sub(1);
             match end {
                 AttemptEnd::Complete => state.health.record_success(),
-                AttemptEnd::Abandoned | AttemptEnd::Full => {}
+                AttemptEnd::Abandoned | AttemptEnd::EndpointLeft | AttemptEnd::Full => {}
                 AttemptEnd::NotReached => {
                     state.health.mark_suspect(now);
                 }
@@ -288,9 +295,8 @@
         if now + MIN_ANSWER_TIME >= call.deadline {
             return Err(RetryDenial::Time);
         }
-        // An attempt that did not reach an endpoint is not checked against the limits.
-        let was_sent = end != AttemptEnd::NotReached;
-        if was_sent {
+        // An attempt that sent nothing is not checked against the limits.
+        if end.is_sent() {
             if call.tried.len() >= call.max_attempts as usize {
                 return Err(RetryDenial::Attempts);
             }
@@ -319,13 +325,13 @@
 
     /// Performs the checks that are due and returns the operations to perform.
     pub fn take_actions(&mut self, now: ClockTime) -> Vec<GatewayAction> {
+        self.expire_missing(now);
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
             self.record_lag(
                 now.since(self.last_sweep).saturating_sub(SWEEP_INTERVAL),
                 now,
             );
             self.last_sweep = now;
-            self.expire_missing(now);
             self.refuse_overdue(now);
             self.exchange_totals(now);
             self.drop_silent_desks(now);
@@ -429,7 +435,7 @@
     }
 
     /// Moves the requests that wait for missing endpoints whose time is over.
-    fn expire_missing(&mut self, now: ClockTime) {
+    pub(super) fn expire_missing(&mut self, now: ClockTime) {
         if self.next_expiry.is_some_and(|expiry| now >= expiry) {
             self.update_next_expiry(now);
             self.reassign_stranded(now);
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -64,6 +64,7 @@
         message: DeskMessage,
         now: ClockTime,
     ) {
+        self.expire_missing(now);
         let Some(state) = self.endpoints.get_mut(endpoint) else {
             return;
         };
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -313,6 +313,40 @@
     ));
 }
 
+#[test]
+fn a_grant_that_arrives_after_the_time_of_a_missing_endpoint_starts_nothing() {
+    let mut machine = machine(1, 1, Some(600_000));
+    machine.receive_desk_message(&endpoint(0), desk_state(0), at(0));
+    let missing = list_with_missing(1, &[0], at(50));
+    machine.set_endpoints(&missing, &config(Some(600_000)), at(1));
+    machine.submit(RequestId::new(1), call(at(1), true), at(1));
+    assert!(started(machine.take_actions(at(45))).is_empty());
+    let grant = DeskMessage::Grant(DeskNotice { request: 1 });
+    machine.receive_desk_message(&endpoint(0), grant, at(51));
+    assert!(started(machine.take_actions(at(51))).is_empty());
+}
+
+#[test]
+fn an_attempt_at_an_endpoint_that_left_before_it_was_sent_moves_to_another() {
+    let mut machine = machine(2, 8, None);
+    let id = RequestId::new(1);
+    machine.submit(id, call(at(0), false), at(0));
+    let used = started(machine.take_actions(at(0))).remove(0).1;
+    let mut changed = list(2, 8);
+    changed.remove(&used);
+    machine.set_endpoints(&changed, &config(None), at(1));
+    assert!(!machine.is_usable(&used, at(1)));
+    let call = machine
+        .end(id, AttemptEnd::EndpointLeft, at(2))
+        .expect("the request was started");
+    machine
+        .retry(id, call, AttemptEnd::EndpointLeft, at(2))
+        .expect("nothing was sent");
+    let moved = started(machine.take_actions(at(2)));
+    assert!(moved.iter().all(|(_, endpoint)| *endpoint != used));
+    assert_eq!(moved.len(), 1);
+}
+
 #[test]
 fn a_missing_endpoint_is_not_used_while_as_many_are_ready() {
     let mut machine = machine(2, 1, None);
@@ -626,6 +660,23 @@
     ));
 }
 
+#[derive(Debug, Clone, Copy)]
+enum ListedAs {
+    Absent,
+    Ready,
+    Draining,
+    Missing(Option<u64>),
+}
+
+fn listed_as() -> impl Strategy<Value = ListedAs> {
+    prop_oneof![
+        2 => Just(ListedAs::Absent),
+        6 => Just(ListedAs::Ready),
+        2 => Just(ListedAs::Draining),
+        3 => proptest::option::of(0_u64..600).prop_map(ListedAs::Missing),
+    ]
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Submit {
@@ -636,7 +687,8 @@
     First(usize),
     End(usize, u8),
     Leave(usize),
-    List(u8),
+    /// Whether each endpoint is listed, draining or missing for some milliseconds.
+    List([ListedAs; 4]),
     DeskUp(usize),
     DeskDown(usize),
     Grant(usize),
@@ -648,12 +700,13 @@
         6 => (any::<bool>(), 0_u64..6, 0_u32..50_000)
             .prop_map(|(may_retry, subject, own)| Step::Submit { may_retry, subject, own }),
         2 => (0_usize..16).prop_map(Step::First),
-        4 => (0_usize..16, 0_u8..6).prop_map(|(index, end)| Step::End(index, end)),
+        4 => (0_usize..16, 0_u8..7).prop_map(|(index, end)| Step::End(index, end)),
         2 => (0_usize..16).prop_map(Step::Leave),
-        1 => any::<u8>().prop_map(Step::List),
+        1 => [listed_as(), listed_as(), listed_as(), listed_as()].prop_map(Step::List),
         1 => (0_usize..4).prop_map(Step::DeskUp),
         1 => (0_usize..4).prop_map(Step::DeskDown),
         4 => (0_usize..16).prop_map(Step::Grant),
+        2 => (0_u16..10).prop_map(Step::Wait),
         3 => (0_u16..400).prop_map(Step::Wait),
     ];
     proptest::collection::vec(step, 1..150)
@@ -669,19 +722,20 @@
 }
 
 proptest! {
-    #![proptest_config(seeded(150))]
+    #![proptest_config(seeded(2_000))]
 
     /// Checks for any sequence of endpoint lists, desk changes, failures and leaving callers: a
     /// request is never sent after its end, twice at a time, or twice to one endpoint. It is sent
     /// again after it may have run only if that is allowed. A refused request is neither running
-    /// nor over.
+    /// nor over. No request starts at an endpoint that is leaving or gone.
     #[test]
     fn a_gateway_keeps_its_guarantees_over_any_history(steps in steps()) {
-        const ENDS: [AttemptEnd; 6] = [
-            AttemptEnd::Complete, AttemptEnd::NotReached, AttemptEnd::Full,
+        const ENDS: [AttemptEnd; 7] = [
+            AttemptEnd::Complete, AttemptEnd::NotReached, AttemptEnd::EndpointLeft, AttemptEnd::Full,
             AttemptEnd::Misdirected, AttemptEnd::Failed, AttemptEnd::Broken,
         ];
         let mut machine = machine(4, 3, Some(200_000));
+        let mut listed = list(4, 3);
         let mut now = at(0);
         let mut histories: SortedMap<RequestId, RequestHistory> = SortedMap::new();
         let mut asked: Vec<(EndpointId, u64)> = Vec::new();
@@ -734,16 +788,23 @@
                         entry.is_running = false;
                     }
                 }
-                Step::List(bits) => {
-                    let mut changed = list(4, 3);
-                    changed.retain(|id, entry| {
-                        let number = (0..4).find(|number| endpoint(*number) == *id).unwrap_or(0);
-                        if bits & (16 << number) != 0 {
-                            entry.state = ListingState::Draining;
+                Step::List(states) => {
+                    listed = list(4, 3);
+                    for (number, state) in states.into_iter().enumerate() {
+                        let entry = listed.get_mut(&endpoint(number)).expect("it is listed");
+                        match state {
+                            ListedAs::Ready => {}
+                            ListedAs::Absent => {
+                                listed.remove(&endpoint(number));
+                            }
+                            ListedAs::Draining => entry.state = ListingState::Draining,
+                            ListedAs::Missing(millis) => {
+                                let until = millis.map(|millis| now + Duration::from_millis(millis));
+                                entry.state = ListingState::Missing { until };
+                            }
                         }
-                        bits & (1 << number) != 0
-                    });
-                    machine.set_endpoints(&changed, &config(Some(200_000)), now);
+                    }
+                    machine.set_endpoints(&listed, &config(Some(200_000)), now);
                 }
                 Step::DeskUp(number) => {
                     machine.receive_desk_message(&endpoint(number), desk_state(0), now);
@@ -759,13 +820,19 @@
                         );
                     }
                 }
-                Step::Wait(millis) => now = now + Duration::from_millis(u64::from(millis)),
+                // The next event may come before the machine's timers run.
+                Step::Wait(millis) => {
+                    now = now + Duration::from_millis(u64::from(millis));
+                    continue;
+                }
             }
             for action in machine.take_actions(now) {
                 match action {
                     GatewayAction::Start { request, endpoint, .. } => {
                         let entry = histories.get_mut(&request).expect("the request was submitted");
                         prop_assert!(!entry.is_over && !entry.is_running);
+                        let state = listed.get(&endpoint).map(|listed| listed.state);
+                        prop_assert!(state.is_some_and(|state| state.is_available(now)));
                         prop_assert!(entry.sent.iter().all(|(sent, _)| *sent != endpoint));
                         let may_have_run = entry.sent.iter().any(|(_, ran)| *ran);
                         prop_assert!(entry.may_retry || !may_have_run);
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -130,6 +130,7 @@
     };
     let mut message = build_request::<D>(shared, request, assignment, last_event_id);
     let response = loop {
+        ensure_usable(shared, assignment)?;
         match connection.sender.try_send_request(message).await {
             Ok(response) => break response,
             Err(mut error) => match error.take_message() {
@@ -172,6 +173,21 @@
     })
 }
 
+/// Fails if the endpoint stopped taking requests since the request was assigned to it.
+///
+/// Opening a connection takes time, and a busy process starts its tasks late.
+fn ensure_usable(
+    shared: &GatewayShared,
+    assignment: &EndpointAssignment,
+) -> Result<(), AttemptFailure> {
+    let machine = shared.machine.borrow();
+    if machine.is_usable(&assignment.endpoint, shared.now()) {
+        return Ok(());
+    }
+    let detail = "the endpoint stopped taking requests before this one was sent";
+    Err(AttemptFailure::new(AttemptEnd::EndpointLeft, detail))
+}
+
 /// Opens a new connection to the endpoint and counts it.
 async fn open_connection(
     shared: &Rc<GatewayShared>,
