fix(gateway): an entry of an earlier heartbeat does not list a leaving endpoint as ready again

A write that the store carries out late, or a repeated one, would have listed an endpoint as ready after it said that it leaves, or after its entry was removed. Change: entries of one start of an endpoint are ordered by their heartbeat; older ones are logged as outdated and ignored, for a minute also after the removal. Evidence: the new test fails without the comparison.

--- a/crates/cicadalock-node/src/gateway/endpoint_change.rs
+++ b/crates/cicadalock-node/src/gateway/endpoint_change.rs
@@ -8,6 +8,8 @@
     Ready,
     /// It was written and says that the endpoint is shutting down.
     Draining,
+    /// It was written by an earlier heartbeat than the last known one; the write was ignored.
+    Outdated,
     /// It was replaced by one that cannot be decoded.
     Unreadable,
     /// It was removed, perhaps only because it could not be renewed during an outage of the store.
@@ -36,6 +38,7 @@
         match self {
             Self::Ready => "ready",
             Self::Draining => "draining",
+            Self::Outdated => "outdated",
             Self::Unreadable => "unreadable",
             Self::Missing => "missing",
             Self::Removed => "removed",
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -21,6 +21,11 @@
 /// Part of a bound that is left for passing a removal on and for requests on their way.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time for which the last entry of an endpoint that left is remembered.
+///
+/// A write that the store has received may take effect several seconds late.
+const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
+
 /// Time limits of a [`StoreFollower`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerTimes {
@@ -65,6 +70,8 @@
     revision: Option<Revision>,
     config: Option<Arc<ServingConfig>>,
     endpoints: EndpointList,
+    /// Last entries of endpoints that are no longer listed, and when they were dropped.
+    departed: SortedMap<EndpointId, (ListedEndpoint, ClockTime)>,
     /// Start of the last read that was successful; all earlier changes are known.
     confirmed_at: ClockTime,
     /// Start of the first failed read since the last successful one.
@@ -83,6 +90,7 @@
             revision: None,
             config: None,
             endpoints: SortedMap::new(),
+            departed: SortedMap::new(),
             confirmed_at: ClockTime::default(),
             failing_since: None,
             grace_until: ClockTime::default(),
@@ -201,6 +209,10 @@
                     update.problems.extend(findings);
                 }
             },
+            StoreDocument::Endpoint(id, Ok(endpoint)) if self.is_outdated(&id, &endpoint) => {
+                let change = EndpointChange::new(id, ChangeKind::Outdated, &endpoint);
+                update.changes.push(change);
+            }
             StoreDocument::Endpoint(id, Ok(endpoint)) => {
                 if self.endpoints.get(&id) != Some(&endpoint) {
                     update
@@ -218,6 +230,15 @@
         }
     }
 
+    /// Returns whether an entry is older than one that the same process of the endpoint wrote.
+    fn is_outdated(&self, id: &EndpointId, entry: &ListedEndpoint) -> bool {
+        let departed = || self.departed.get(id).map(|(last, _)| last);
+        let last = self.endpoints.get(id).or_else(departed);
+        last.is_some_and(|last| {
+            last.started != 0 && last.started == entry.started && entry.heartbeat < last.heartbeat
+        })
+    }
+
     fn apply_config(&mut self, config: ServingConfig, update: &mut StoreUpdate) {
         let is_newer = self
             .config
@@ -248,8 +269,16 @@
             self.has_endpoint_changes = true;
             update.changes.push(EndpointChange::of(id, listed));
         } else {
-            self.drop_endpoint(id, ChangeKind::Removed, update);
+            self.forget_endpoint(id, now, update);
+        }
+    }
+
+    /// Drops an endpoint that left, and remembers its last entry.
+    fn forget_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
+        if let Some(listed) = self.endpoints.get(&id) {
+            self.departed.insert(id.clone(), (listed.clone(), now));
         }
+        self.drop_endpoint(id, ChangeKind::Removed, update);
     }
 
     fn drop_endpoint(&mut self, id: EndpointId, kind: ChangeKind, update: &mut StoreUpdate) {
@@ -269,8 +298,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
-            self.drop_endpoint(id, ChangeKind::Removed, update);
+            self.forget_endpoint(id, now, update);
         }
+        self.departed
+            .retain(|_, (_, dropped_at)| now.since(*dropped_at) < DEPARTED_MEMORY);
     }
 
     /// Sets the time from which missing endpoints count as gone.
--- a/crates/cicadalock-node/tests/store_follower.rs
+++ b/crates/cicadalock-node/tests/store_follower.rs
@@ -88,6 +88,11 @@
 }
 
 fn endpoint(name: &str, is_draining: bool) -> StoreDocument {
+    written_by(name, is_draining, 0, 1)
+}
+
+/// Returns the entry that a heartbeat of the process started at `started` wrote.
+fn written_by(name: &str, is_draining: bool, started: u64, heartbeat: u64) -> StoreDocument {
     let listed = ListedEndpoint {
         service: "model".parse().expect("a valid name"),
         address: "127.0.0.1:9000".parse().expect("a valid address"),
@@ -99,8 +104,8 @@
             ListingState::Ready
         },
         cold_remaining: Duration::ZERO,
-        started: 0,
-        heartbeat: 1,
+        started,
+        heartbeat,
     };
     StoreDocument::Endpoint(id(name), Ok(listed))
 }
@@ -475,3 +480,40 @@
         .expect("the endpoints changed");
     assert_eq!(names(&list), ["b"]);
 }
+
+/// Guards against a late write that lists an endpoint as ready after it said that it leaves.
+#[test]
+fn an_entry_of_an_earlier_heartbeat_does_not_bring_a_leaving_endpoint_back() {
+    let (early, last) = ((7, 3), (7, 4));
+    let entry = |is_draining, (started, heartbeat)| {
+        written(written_by("a", is_draining, started, heartbeat))
+    };
+    let store = ScriptedStore::new(vec![
+        Answer::Page(vec![endpoint("b", false)], None),
+        Answer::Changes(vec![entry(true, last), entry(false, early)], 12),
+        Answer::Changes(vec![StoreChange::EndpointRemoved(id("a"))], 13),
+        Answer::Changes(vec![entry(false, early)], 14),
+        Answer::Changes(vec![entry(false, (7, 5))], 15),
+        Answer::Changes(vec![entry(false, (9, 1))], 16),
+    ]);
+    let (_, now) = clock();
+    let mut follower = StoreFollower::new(store, TIMES);
+    follower.step(&now);
+    let mut state_of_a = || {
+        let list = follower.step(&now).endpoints;
+        list.map(|list| list.get(&id("a")).map(|listed| listed.state))
+    };
+    assert_eq!(state_of_a(), Some(Some(ListingState::Draining)));
+    assert_eq!(state_of_a(), Some(None));
+    assert_eq!(state_of_a(), None, "the earlier heartbeat is ignored");
+    assert_eq!(
+        state_of_a(),
+        Some(Some(ListingState::Ready)),
+        "a later one counts"
+    );
+    assert_eq!(
+        state_of_a(),
+        Some(Some(ListingState::Ready)),
+        "a new process counts"
+    );
+}
