feat(soak): endpoints observe requests after they left, also while faults are active

The soak checked the drain bound for one endpoint in the period without faults. A run counts as late if its router, its link and the store had no fault for the contact time, 1.2 s in the stand-in's settings; the store, when it acknowledged the departure.

--- a/crates/trial/src/cli/flags.rs
+++ b/crates/trial/src/cli/flags.rs
@@ -50,6 +50,8 @@
             optional --count count: u64
             /// Time over which faults are injected, in seconds.
             optional --seconds seconds: u64
+            /// Multiple of the smallest number of processes, which is 6. Default: 1.
+            optional --scale scale: usize
             /// Folder for settings and logs; those of seeds that violate no guarantee are removed.
             optional --folder folder: PathBuf
         }
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -7,12 +7,15 @@
 use crate::emulator::{EmulatorOptions, LoadFile, emulate, plot_outcomes};
 use crate::report::{TrialReport, plot_report};
 use crate::scenario::{SCENARIOS, ScenarioOptions, SizeOptions, find_scenario, run_scenario};
-use crate::soak::{SoakOptions, run_soak};
+use crate::soak::{SoakOptions, SoakSize, run_soak};
 use crate::standin::{EngineOptions, ServiceOptions, run_engine, run_platform, run_service};
 
 /// Scenario that runs if `--scenario` is absent.
 const DEFAULT_SCENARIO: &str = "quick";
 
+/// Largest `--scale` of a soak; its 240 endpoints fit the addresses of one network.
+const MAX_SOAK_SCALE: usize = 40;
+
 /// Duration of the load if `--seconds` is absent, in seconds.
 const DEFAULT_SECONDS: u64 = 10;
 
@@ -145,6 +148,7 @@
         let options = SoakOptions {
             seed,
             length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+            size: SoakSize::scaled(flags.scale.unwrap_or(1).clamp(1, MAX_SOAK_SCALE)),
             program: std::env::current_exe()?,
             folder: folder.join(format!("seed-{seed}")),
         };
--- a/crates/trial/src/soak/fault_plan.rs
+++ b/crates/trial/src/soak/fault_plan.rs
@@ -57,8 +57,25 @@
     StoreForgets,
     /// Publishes a configuration that revokes the current token and adds a new one.
     ChangeTokens,
-    /// Lists the endpoint with this index as draining, and as ready again at the end of the fault.
+    /// Removes the entries of all endpoints while the store refuses every request; the endpoints
+    /// write them again after its end.
+    StoreLapse,
+    /// Lists the endpoint with this index as draining, and as started again at the end of the fault.
     Drain(usize),
+    /// Removes the entry of the endpoint with this index without notice, and lists it as started
+    /// again at the end of the fault.
+    Leave(usize),
+}
+
+/// Numbers of the processes and stand-ins of a soak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoakSize {
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of endpoints. The first of them have desks.
+    pub endpoints: usize,
+    /// Number of endpoints that have a desk.
+    pub desks: usize,
 }
 
 /// A fault with its start time and duration.
@@ -79,57 +96,70 @@
     pub steps: Vec<FaultStep>,
 }
 
-impl FaultPlan {
-    /// Number of routers in a soak.
-    pub const ROUTERS: usize = 3;
-
-    /// Number of endpoints in a soak. The first half of them have desks.
-    pub const ENDPOINTS: usize = 6;
-
-    /// Number of endpoints that have a desk.
-    pub const DESKS: usize = 3;
+impl SoakSize {
+    /// Returns the size with `scale` times the processes of the smallest soak.
+    #[must_use]
+    pub const fn scaled(scale: usize) -> Self {
+        Self {
+            routers: 3 * scale,
+            endpoints: 6 * scale,
+            desks: 3 * scale,
+        }
+    }
+}
 
-    /// Draws faults that begin within `length`. The same seed gives the same plan.
+impl FaultPlan {
+    /// Draws faults that begin within `length`. The same seed and size give the same plan.
+    ///
+    /// The number of faults grows with the size.
     #[must_use]
-    pub fn draw(seed: u64, length: Duration) -> Self {
+    pub fn draw(seed: u64, length: Duration, size: SoakSize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut steps = Vec::new();
+        let scale = (size.routers / SoakSize::scaled(1).routers).max(1) as u32;
+        let mut steps: Vec<FaultStep> = Vec::new();
         let mut at = Duration::from_millis(300);
         while at < length {
             let span = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-            let fault = draw_fault(&mut rng);
+            // One fault in four repeats the previous one, so that some come in series.
+            let previous = steps.last().map(|step| step.fault);
+            let fault = previous
+                .filter(|_| rng.random_range(0..4) == 0)
+                .unwrap_or_else(|| draw_fault(&mut rng, size));
             steps.push(FaultStep { at, span, fault });
             // One fault in four begins together with the next one.
             if rng.random_range(0..4) > 0 {
-                at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
+                at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS)) / scale;
             }
         }
         Self { steps }
     }
 }
 
-fn draw_fault(rng: &mut StdRng) -> SoakFault {
+fn draw_fault(rng: &mut StdRng, size: SoakSize) -> SoakFault {
     let process = if rng.random_range(0..3) > 0 {
-        SoakProcess::Router(rng.random_range(0..FaultPlan::ROUTERS))
+        SoakProcess::Router(rng.random_range(0..size.routers))
     } else {
-        SoakProcess::Desk(rng.random_range(0..FaultPlan::DESKS))
+        SoakProcess::Desk(rng.random_range(0..size.desks))
     };
     let link = match rng.random_range(0..4) {
-        0 => SoakLink::Callers(rng.random_range(0..FaultPlan::ROUTERS)),
-        1 => SoakLink::Store(rng.random_range(0..FaultPlan::ROUTERS)),
-        2 => SoakLink::Endpoint(rng.random_range(0..FaultPlan::ENDPOINTS)),
-        _ => SoakLink::Desk(rng.random_range(0..FaultPlan::DESKS)),
+        0 => SoakLink::Callers(rng.random_range(0..size.routers)),
+        1 => SoakLink::Store(rng.random_range(0..size.routers)),
+        2 => SoakLink::Endpoint(rng.random_range(0..size.endpoints)),
+        _ => SoakLink::Desk(rng.random_range(0..size.desks)),
     };
-    match rng.random_range(0..12) {
+    let endpoint = rng.random_range(0..size.endpoints);
+    match rng.random_range(0..18) {
         0 => SoakFault::Freeze(process),
         1 => SoakFault::Kill(process),
         2 => SoakFault::Stop(process),
-        3 => SoakFault::Reload(rng.random_range(0..FaultPlan::ROUTERS)),
+        3 => SoakFault::Reload(rng.random_range(0..size.routers)),
         4 => SoakFault::Cut(link),
         5 => SoakFault::StoreRefuses,
         6 => SoakFault::StoreForgets,
         7 => SoakFault::ChangeTokens,
-        8 => SoakFault::Drain(rng.random_range(0..FaultPlan::ENDPOINTS)),
+        8 => SoakFault::StoreLapse,
+        9..11 => SoakFault::Drain(endpoint),
+        11..14 => SoakFault::Leave(endpoint),
         _ => SoakFault::Impair(link, draw_impairment(rng)),
     }
 }
--- a/crates/trial/src/soak/guarantees.rs
+++ b/crates/trial/src/soak/guarantees.rs
@@ -4,7 +4,7 @@
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{Answer, EndpointRun, HostSettings, StandInEndpoint};
 
-use super::soak_callers::{CallKind, CallRecord};
+use super::soak_callers::{CallKind, CallRecord, router_of};
 
 /// Statuses that tell the caller that the request did not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -26,12 +26,55 @@
     /// Start of the period without faults, after the processes had time to recover; `None` skips
     /// the checks of that period.
     pub fault_free_from: Option<Instant>,
-    /// Id of an endpoint that was listed as draining in the period without faults, and since when.
-    pub drained: Option<(String, Instant)>,
+    /// Departures of endpoints, also those during faults.
+    pub departures: Vec<EndpointDeparture>,
+    /// Faults that suspend bounds.
+    pub disturbances: Vec<SoakDisturbance>,
     /// Names of processes that exited without being asked to.
     pub unexpected_exits: Vec<String>,
 }
 
+/// A time in which the store listed an endpoint as draining or not at all.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointDeparture {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time at which the store acknowledged the change.
+    pub left: Instant,
+    /// Time at which the endpoint was about to be listed as ready again; `None` if it never was.
+    pub back: Option<Instant>,
+}
+
+/// What a fault disturbs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DisturbedPart {
+    /// The process or a link of the router with this index.
+    Router(usize),
+    /// The link to the endpoint with this index.
+    Endpoint(usize),
+    /// The store.
+    Store,
+}
+
+/// A fault that suspends bounds while it lasts and for the contact time after it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoakDisturbance {
+    /// What the fault disturbs.
+    pub part: DisturbedPart,
+    /// Start of the fault.
+    pub from: Instant,
+    /// End of the fault; `None` if it never ended.
+    pub until: Option<Instant>,
+}
+
+impl SoakDisturbance {
+    /// Returns whether the fault lasted at some time in the contact time before `at`.
+    fn suspends_bounds(&self, at: Instant) -> bool {
+        let contact = Duration::from_millis(HostSettings::CONTACT_MS);
+        self.from <= at && self.until.is_none_or(|until| at < until + contact)
+    }
+}
+
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GuaranteeViolation {
@@ -66,6 +109,9 @@
         check_call(call, ran.map_or(&[], Vec::as_slice), &mut violations);
     }
     check_fault_free(evidence, &runs, &mut violations);
+    for departure in &evidence.departures {
+        check_departure(departure, evidence, &mut violations);
+    }
     for process in &evidence.unexpected_exits {
         violations.push(GuaranteeViolation {
             guarantee: "processes run until they are asked to stop",
@@ -215,18 +261,50 @@
             });
         }
     }
-    if let Some((endpoint, since)) = &evidence.drained {
-        let limit = *since + Duration::from_millis(HostSettings::DRAIN_MS);
-        let late_runs = evidence
-            .runs
+}
+
+/// Checks that undisturbed routers send an endpoint nothing once its departure is due.
+fn check_departure(
+    departure: &EndpointDeparture,
+    evidence: &SoakEvidence,
+    violations: &mut Vec<GuaranteeViolation>,
+) {
+    let is_disturbed = |part: DisturbedPart, at: Instant| {
+        let mut faults = evidence
+            .disturbances
             .iter()
-            .filter(|(id, run)| id == endpoint && run.started_at > limit);
-        violations.extend(late_runs.map(|(_, run)| GuaranteeViolation {
-            guarantee: "a draining endpoint gets no more requests",
-            observed: format!(
-                "{endpoint} started {} after the drain time had passed",
-                run.number
-            ),
-        }));
+            .filter(|fault| fault.part == part);
+        faults.any(|fault| fault.suspends_bounds(at))
+    };
+    if is_disturbed(DisturbedPart::Store, departure.left) {
+        return;
     }
+    let due = departure.left + Duration::from_millis(HostSettings::DRAIN_MS);
+    for (endpoint, run) in &evidence.runs {
+        let is_late = *endpoint == departure.endpoint
+            && run.started_at > due
+            && departure.back.is_none_or(|back| run.started_at < back);
+        let Some(router) = router_of(&run.number).filter(|_| is_late) else {
+            continue;
+        };
+        let link = endpoint_index(endpoint).map(DisturbedPart::Endpoint);
+        let is_excused = is_disturbed(DisturbedPart::Store, run.started_at)
+            || is_disturbed(DisturbedPart::Router(router), run.started_at)
+            || link.is_some_and(|link| is_disturbed(link, run.started_at));
+        if !is_excused {
+            violations.push(GuaranteeViolation {
+                guarantee: "an endpoint that left gets no more requests",
+                observed: format!(
+                    "{endpoint} started {} from router {router} {:?} after it had left",
+                    run.number,
+                    run.started_at - departure.left
+                ),
+            });
+        }
+    }
+}
+
+/// Returns the index in the id of a soak's endpoint.
+fn endpoint_index(id: &str) -> Option<usize> {
+    id.strip_prefix("i-")?.parse().ok()
 }
--- a/crates/trial/src/soak/mod.rs
+++ b/crates/trial/src/soak/mod.rs
@@ -10,10 +10,10 @@
 //! # Example
 //!
 //! ```
-//! use trial::soak::FaultPlan;
+//! use trial::soak::{FaultPlan, SoakSize};
 //!
-//! let plan = FaultPlan::draw(7, std::time::Duration::from_secs(5));
-//! assert_eq!(plan, FaultPlan::draw(7, std::time::Duration::from_secs(5)));
+//! let (length, size) = (std::time::Duration::from_secs(5), SoakSize::scaled(1));
+//! assert_eq!(FaultPlan::draw(7, length, size), FaultPlan::draw(7, length, size));
 //! ```
 
 mod fault_plan;
@@ -22,7 +22,10 @@
 mod soak_run;
 mod soak_testbed;
 
-pub use fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess};
-pub use guarantees::{GuaranteeViolation, SoakEvidence, find_violations};
+pub use fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
+pub use guarantees::{
+    DisturbedPart, EndpointDeparture, GuaranteeViolation, SoakDisturbance, SoakEvidence,
+    find_violations,
+};
 pub use soak_callers::{CallKind, CallRecord};
 pub use soak_run::{SoakOptions, SoakReport, run_soak};
--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -17,7 +17,8 @@
 /// Timeout of a caller's read. It exceeds every timeout of the routes.
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Maximum number of requests on one connection, to emulate callers with a connection pool.
+/// Maximum number of requests on one connection, to emulate callers with a connection pool. Every
+/// other caller uses a connection until it ends.
 const REQUESTS_PER_CONNECTION: u32 = 40;
 
 /// Pause between two requests of a caller, in milliseconds.
@@ -94,6 +95,13 @@
     }
 }
 
+/// Returns the index of the router that the request with this number was sent to.
+pub(super) fn router_of(number: &str) -> Option<usize> {
+    let (caller, _) = number.split_once('-')?;
+    let caller = usize::from_str_radix(caller, 16).ok()?;
+    Some(caller / CALLERS_PER_ROUTER)
+}
+
 /// Returns the text of the token with this number.
 pub(super) fn token_text(number: u64) -> String {
     format!("token-{number}")
@@ -126,7 +134,12 @@
             std::thread::sleep(Duration::from_millis(50));
             continue;
         };
-        for _ in 0..REQUESTS_PER_CONNECTION {
+        let limit = if caller.is_multiple_of(2) {
+            REQUESTS_PER_CONNECTION
+        } else {
+            u32::MAX
+        };
+        for _ in 0..limit {
             count += 1;
             let number = format!("{caller:x}-{count:x}");
             let record = call_once(shared, &mut stream, number, &mut rng);
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -7,7 +7,7 @@
 
 use cicadalock_core::collect::SortedMap;
 
-use super::fault_plan::{FaultPlan, FaultStep};
+use super::fault_plan::{FaultPlan, FaultStep, SoakSize};
 use super::guarantees::{CANCEL_GRACE, GuaranteeViolation, SoakEvidence, find_violations};
 use super::soak_callers::{CallRecord, CallerShared, start_callers};
 use super::soak_testbed::{ManagedProcess, SoakTestbed};
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// Period in which faults begin.
     pub length: Duration,
+    /// Numbers of processes and stand-ins.
+    pub size: SoakSize,
     /// Trial binary, which starts the routers and desks with its `cicadalock` subcommand.
     pub program: PathBuf,
     /// Folder for the settings and logs of the processes; created if missing.
@@ -62,8 +64,8 @@
 /// if the routers do not become ready in time.
 pub fn run_soak(options: &SoakOptions) -> io::Result<SoakReport> {
     std::fs::create_dir_all(&options.folder)?;
-    let plan = FaultPlan::draw(options.seed, options.length);
-    let mut testbed = SoakTestbed::start(&options.program, &options.folder)?;
+    let plan = FaultPlan::draw(options.seed, options.length, options.size);
+    let mut testbed = SoakTestbed::start(&options.program, &options.folder, options.size)?;
     let shared = Arc::new(CallerShared {
         records: Mutex::default(),
         token: AtomicU64::new(testbed.token()),
@@ -78,9 +80,9 @@
         // The records of a caller that panicked are kept.
         let _ = caller.join();
     }
-    let (fault_free_from, drained) = result?;
+    let fault_free_from = result?;
     std::thread::sleep(CANCEL_GRACE);
-    let evidence = collect_evidence(&testbed, &shared, fault_free_from, drained);
+    let evidence = collect_evidence(&testbed, &shared, fault_free_from);
     let mut statuses = SortedMap::new();
     for call in &evidence.calls {
         *statuses.get_or_insert_with(status(call), || 0) += 1;
@@ -120,7 +122,7 @@
         for step in expired {
             testbed.end(&step)?;
         }
-        testbed.restart_exited()?;
+        testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
     Ok(())
@@ -130,12 +132,12 @@
 fn wait_for_recovery(testbed: &mut SoakTestbed) -> io::Result<()> {
     let until = Instant::now() + STOP_TIMEOUT;
     while testbed.is_stopping() && Instant::now() < until {
-        testbed.restart_exited()?;
+        testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
     let recovered_at = Instant::now() + RECOVERY_TIME;
     while Instant::now() < recovered_at || !testbed.routers.iter().all(ManagedProcess::is_ready) {
-        testbed.restart_exited()?;
+        testbed.poll()?;
         if Instant::now() > recovered_at + STOP_TIMEOUT {
             return Err(io::Error::other(
                 "a router did not become ready again after the faults",
@@ -146,27 +148,23 @@
     Ok(())
 }
 
-/// Start of the period without faults, and the endpoint that drains in it with the time since when.
-type FaultFreePeriod = (Instant, (String, Instant));
-
 /// Lets callers continue for [`FAULT_FREE_TIME`] without faults, with one endpoint draining.
-fn observe_fault_free(testbed: &mut SoakTestbed) -> io::Result<FaultFreePeriod> {
+///
+/// Returns the start of that period.
+fn observe_fault_free(testbed: &mut SoakTestbed) -> io::Result<Instant> {
     let start = Instant::now();
-    let draining = FaultPlan::ENDPOINTS - 1;
-    testbed.publish_endpoint(draining, "draining");
-    let drained = (testbed.endpoints[draining].id.clone(), Instant::now());
+    testbed.begin_departure(testbed.endpoints.len() - 1, Some("draining"));
     while start.elapsed() < FAULT_FREE_TIME {
-        testbed.restart_exited()?;
+        testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
-    Ok((start, drained))
+    Ok(start)
 }
 
 fn collect_evidence(
     testbed: &SoakTestbed,
     shared: &CallerShared,
     fault_free_from: Instant,
-    drained: (String, Instant),
 ) -> SoakEvidence {
     let runs = testbed.endpoints.iter().flat_map(|endpoint| {
         let runs = endpoint.run_records().into_iter();
@@ -182,7 +180,8 @@
             .collect(),
         revoked: testbed.revoked.clone(),
         fault_free_from: Some(fault_free_from),
-        drained: Some(drained),
+        departures: testbed.departures.clone(),
+        disturbances: testbed.disturbances.clone(),
         unexpected_exits: testbed.unexpected_exits.clone(),
     }
 }
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -10,7 +10,8 @@
     HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config, is_ready,
 };
 
-use super::fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess};
+use super::fault_plan::{FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
+use super::guarantees::{DisturbedPart, EndpointDeparture, SoakDisturbance};
 use super::soak_callers::token_text;
 use crate::fleet::ChildGuard;
 use crate::proxy::{FaultProxy, ProxyFault};
@@ -26,10 +27,15 @@
 /// Timeout for the routers to become ready with their first configuration.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Longest time after a lapse until an endpoint has written its entry again, in milliseconds: the
+/// interval of its heartbeats.
+const RELISTING_MS: u64 = 1_200;
+
 /// The processes, stand-ins and proxies of a soak; all of them end when it is dropped.
 #[derive(Debug)]
 pub(super) struct SoakTestbed {
     network: HostNetwork,
+    size: SoakSize,
     pub(super) endpoints: Vec<StandInEndpoint>,
     pub(super) routers: Vec<ManagedProcess>,
     desks: Vec<ManagedProcess>,
@@ -40,7 +46,15 @@
     desk_proxies: Vec<FaultProxy>,
     token: u64,
     version: u64,
+    /// Number of active faults that make the store refuse.
+    refusals: u32,
+    /// Start time in the entry of each endpoint.
+    born: Vec<u64>,
+    /// Endpoints that will write their entries again, and when.
+    relistings: Vec<(Instant, usize)>,
     pub(super) revoked: SortedMap<u64, Instant>,
+    pub(super) departures: Vec<EndpointDeparture>,
+    pub(super) disturbances: Vec<SoakDisturbance>,
     pub(super) unexpected_exits: Vec<String>,
 }
 
@@ -98,10 +112,11 @@
 impl SoakTestbed {
     /// Starts all processes, with settings and logs in `folder`, and waits until the routers are
     /// ready.
-    pub(super) fn start(program: &Path, folder: &Path) -> io::Result<Self> {
+    pub(super) fn start(program: &Path, folder: &Path, size: SoakSize) -> io::Result<Self> {
         let store = StandInStore::start();
         let mut testbed = Self {
             network: HostNetwork::next(),
+            size,
             endpoints: Vec::new(),
             routers: Vec::new(),
             desks: Vec::new(),
@@ -112,14 +127,19 @@
             desk_proxies: Vec::new(),
             token: 0,
             version: 1,
+            refusals: 0,
+            born: vec![1; size.endpoints],
+            relistings: Vec::new(),
             revoked: SortedMap::new(),
+            departures: Vec::new(),
+            disturbances: Vec::new(),
             unexpected_exits: Vec::new(),
         };
-        for index in 0..FaultPlan::ENDPOINTS {
+        for index in 0..size.endpoints {
             testbed.add_endpoint(index, program, folder)?;
         }
         testbed.put_config();
-        for index in 0..FaultPlan::ROUTERS {
+        for index in 0..size.routers {
             testbed.add_router(index, program, folder)?;
         }
         let until = Instant::now() + START_TIMEOUT;
@@ -149,6 +169,13 @@
 
     /// Begins a fault.
     pub(super) fn begin(&mut self, step: &FaultStep) {
+        if let Some(part) = disturbed_part(step.fault) {
+            self.disturbances.push(SoakDisturbance {
+                part,
+                from: Instant::now(),
+                until: None,
+            });
+        }
         match step.fault {
             SoakFault::Freeze(process) => self.with_child(process, ChildGuard::freeze),
             SoakFault::Kill(process) => self.process_mut(process).kill(),
@@ -161,7 +188,13 @@
             }
             SoakFault::Impair(link, fault) => self.proxy(link).set_fault(fault),
             SoakFault::Cut(link) => self.proxy(link).cut(),
-            SoakFault::StoreRefuses => self.store.refuse(true),
+            SoakFault::StoreRefuses => self.add_refusal(),
+            SoakFault::StoreLapse => {
+                self.add_refusal();
+                for index in 0..self.endpoints.len() {
+                    self.store.remove_endpoint(&self.endpoints[index].id);
+                }
+            }
             SoakFault::StoreForgets => self.store.compact(),
             SoakFault::ChangeTokens => {
                 let old = self.token;
@@ -170,7 +203,8 @@
                 self.put_config();
                 self.revoked.insert(old, Instant::now());
             }
-            SoakFault::Drain(endpoint) => self.publish_endpoint(endpoint, "draining"),
+            SoakFault::Drain(endpoint) => self.begin_departure(endpoint, Some("draining")),
+            SoakFault::Leave(endpoint) => self.begin_departure(endpoint, None),
         }
     }
 
@@ -180,23 +214,137 @@
             SoakFault::Freeze(process) => self.with_child(process, ChildGuard::wake),
             SoakFault::Kill(process) => self.process_mut(process).start()?,
             SoakFault::Impair(link, _) => self.proxy(link).set_fault(ProxyFault::default()),
-            SoakFault::StoreRefuses => self.store.refuse(false),
-            SoakFault::Drain(endpoint) => self.publish_endpoint(endpoint, "ready"),
+            SoakFault::StoreRefuses => self.end_refusal(),
+            SoakFault::StoreLapse => {
+                self.end_refusal();
+                self.schedule_relistings();
+            }
+            SoakFault::Drain(endpoint) | SoakFault::Leave(endpoint) => self.end_departure(endpoint),
             SoakFault::Stop(_)
             | SoakFault::Reload(_)
             | SoakFault::Cut(_)
             | SoakFault::StoreForgets
             | SoakFault::ChangeTokens => {}
         }
+        // A stopping process is disturbed until it runs again.
+        if let Some(part) = disturbed_part(step.fault)
+            && !matches!(step.fault, SoakFault::Stop(_))
+        {
+            self.end_disturbance(part);
+        }
         Ok(())
     }
 
-    /// Restarts exited processes and records those that were not asked to stop.
-    pub(super) fn restart_exited(&mut self) -> io::Result<()> {
-        for process in self.routers.iter_mut().chain(&mut self.desks) {
+    /// Lists an endpoint with `state`, or removes its entry, until [`Self::end_departure`].
+    ///
+    /// Does nothing if an endpoint of the same service is away, as the others carry its load.
+    pub(super) fn begin_departure(&mut self, index: usize, state: Option<&str>) {
+        let has_desk = |index: usize| index < self.size.desks;
+        let mut away = self
+            .departures
+            .iter()
+            .filter(|departure| departure.back.is_none());
+        let is_service_reduced = away.any(|departure| {
+            let away = self
+                .endpoints
+                .iter()
+                .position(|endpoint| endpoint.id == departure.endpoint);
+            away.is_some_and(|away| has_desk(away) == has_desk(index))
+        });
+        if is_service_reduced {
+            return;
+        }
+        match state {
+            Some(state) => self.publish_endpoint(index, state),
+            None => self.store.remove_endpoint(&self.endpoints[index].id),
+        }
+        self.departures.push(EndpointDeparture {
+            endpoint: self.endpoints[index].id.clone(),
+            left: Instant::now(),
+            back: None,
+        });
+    }
+
+    /// Lists an endpoint that left as a new start of it.
+    fn end_departure(&mut self, index: usize) {
+        let id = &self.endpoints[index].id;
+        let mut departures = self.departures.iter_mut();
+        let departure =
+            departures.find(|departure| departure.endpoint == *id && departure.back.is_none());
+        if let Some(departure) = departure {
+            departure.back = Some(Instant::now());
+            self.born[index] += 1;
+            self.publish_endpoint(index, "ready");
+        }
+    }
+
+    fn is_away(&self, index: usize) -> bool {
+        let id = &self.endpoints[index].id;
+        let mut departures = self.departures.iter();
+        departures.any(|departure| departure.endpoint == *id && departure.back.is_none())
+    }
+
+    fn add_refusal(&mut self) {
+        self.refusals += 1;
+        self.store.refuse(true);
+    }
+
+    fn end_refusal(&mut self) {
+        self.refusals -= 1;
+        self.store.refuse(self.refusals > 0);
+    }
+
+    /// Lets the endpoints write their entries again within the interval of their heartbeats.
+    fn schedule_relistings(&mut self) {
+        let count = self.endpoints.len() as u64;
+        let now = Instant::now();
+        self.relistings = (0..count)
+            .map(|index| {
+                let delay = Duration::from_millis(RELISTING_MS * (index + 1) / count);
+                (now + delay, index as usize)
+            })
+            .collect();
+    }
+
+    fn end_disturbance(&mut self, part: DisturbedPart) {
+        let now = Instant::now();
+        let mut disturbances = self.disturbances.iter_mut();
+        let fault = disturbances.find(|fault| fault.part == part && fault.until.is_none());
+        if let Some(fault) = fault {
+            fault.until = Some(now);
+        }
+    }
+
+    /// Restarts exited processes, records those that were not asked to stop, and lets endpoints write
+    /// their entries again.
+    pub(super) fn poll(&mut self) -> io::Result<()> {
+        let now = Instant::now();
+        let (due, pending) = std::mem::take(&mut self.relistings)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now && self.refusals == 0);
+        self.relistings = pending;
+        for (_, index) in due {
+            if !self.is_away(index) {
+                self.publish_endpoint(index, "ready");
+            }
+        }
+        let mut restarted = Vec::new();
+        for (index, process) in self.routers.iter_mut().enumerate() {
+            let was_stopping = process.is_stopping;
             if process.restart_exited()? {
                 self.unexpected_exits.push(process.name.clone());
             }
+            if was_stopping && !process.is_stopping {
+                restarted.push(DisturbedPart::Router(index));
+            }
+        }
+        for process in &mut self.desks {
+            if process.restart_exited()? {
+                self.unexpected_exits.push(process.name.clone());
+            }
+        }
+        for part in restarted {
+            self.end_disturbance(part);
         }
         Ok(())
     }
@@ -211,7 +359,7 @@
     pub(super) fn publish_endpoint(&self, index: usize, state: &str) {
         let endpoint = &self.endpoints[index];
         let address = self.endpoint_proxies[index].address();
-        let entry = endpoint.entry_at(address, state);
+        let entry = endpoint.entry_at(address, state, self.born[index]);
         self.store.put_endpoint(&endpoint.id, &entry);
     }
 
@@ -244,7 +392,7 @@
 
     fn add_endpoint(&mut self, index: usize, program: &Path, folder: &Path) -> io::Result<()> {
         let ip = self.network.endpoint(index);
-        let has_desk = index < FaultPlan::DESKS;
+        let has_desk = index < self.size.desks;
         let service = if has_desk { "model" } else { "desk" };
         let name = format!("i-{index}");
         let endpoint = StandInEndpoint::start_at(&name, service, (ip, ENDPOINT_PORT).into());
@@ -291,6 +439,32 @@
     }
 }
 
+/// Returns what a fault disturbs, as far as bounds are suspended by it.
+const fn disturbed_part(fault: SoakFault) -> Option<DisturbedPart> {
+    match fault {
+        SoakFault::Freeze(SoakProcess::Router(index))
+        | SoakFault::Kill(SoakProcess::Router(index))
+        | SoakFault::Stop(SoakProcess::Router(index))
+        | SoakFault::Impair(SoakLink::Callers(index) | SoakLink::Store(index), _)
+        | SoakFault::Cut(SoakLink::Callers(index) | SoakLink::Store(index)) => {
+            Some(DisturbedPart::Router(index))
+        }
+        SoakFault::Impair(SoakLink::Endpoint(index), _)
+        | SoakFault::Cut(SoakLink::Endpoint(index)) => Some(DisturbedPart::Endpoint(index)),
+        SoakFault::StoreRefuses | SoakFault::StoreLapse => Some(DisturbedPart::Store),
+        SoakFault::Freeze(SoakProcess::Desk(_))
+        | SoakFault::Kill(SoakProcess::Desk(_))
+        | SoakFault::Stop(SoakProcess::Desk(_))
+        | SoakFault::Impair(SoakLink::Desk(_), _)
+        | SoakFault::Cut(SoakLink::Desk(_))
+        | SoakFault::Reload(_)
+        | SoakFault::StoreForgets
+        | SoakFault::ChangeTokens
+        | SoakFault::Drain(_)
+        | SoakFault::Leave(_) => None,
+    }
+}
+
 /// Number of soaks that this process has started; each uses its own addresses.
 static NETWORK_COUNT: AtomicU8 = AtomicU8::new(0);
 
@@ -306,7 +480,8 @@
     fn next() -> Self {
         Self {
             process_octet: 10 + (std::process::id() % 200) as u8,
-            soak_octet: NETWORK_COUNT.fetch_add(1, Ordering::Relaxed),
+            // Endpoints and routers have an octet each.
+            soak_octet: NETWORK_COUNT.fetch_add(2, Ordering::Relaxed),
         }
     }
 
@@ -323,8 +498,8 @@
         IpAddr::V4(Ipv4Addr::new(
             127,
             self.process_octet,
-            self.soak_octet,
-            101 + index as u8,
+            self.soak_octet + 1,
+            1 + index as u8,
         ))
     }
 }
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -5,7 +5,8 @@
 
 use cicadalock_standins::{Answer, EndpointRun};
 use trial::soak::{
-    CallKind, CallRecord, FaultPlan, SoakEvidence, SoakOptions, find_violations, run_soak,
+    CallKind, CallRecord, DisturbedPart, EndpointDeparture, FaultPlan, SoakDisturbance,
+    SoakEvidence, SoakOptions, SoakSize, find_violations, run_soak,
 };
 use yare::parameterized;
 
@@ -88,6 +89,45 @@
     }
 }
 
+const LEFT_ALONE: &str = "an endpoint that left gets no more requests";
+
+/// Each case: the run's start and the end of a disturbance, in milliseconds after the departure.
+#[parameterized(
+    within_the_drain_time = { 700, None, &[] },
+    after_the_drain_time = { 900, None, &[LEFT_ALONE] },
+    after_a_disturbance_of_the_router = { 1_500, Some((DisturbedPart::Router(10 / 4), 400)), &[] },
+    long_after_a_disturbance_of_the_router = { 1_700, Some((DisturbedPart::Router(10 / 4), 400)), &[LEFT_ALONE] },
+    after_a_disturbance_of_another_router = { 1_500, Some((DisturbedPart::Router(0), 400)), &[LEFT_ALONE] },
+    after_a_disturbance_of_its_link = { 1_500, Some((DisturbedPart::Endpoint(1), 400)), &[] },
+    left_while_the_store_was_disturbed = { 1_500, Some((DisturbedPart::Store, 0)), &[] },
+    after_it_was_back = { 5_100, None, &[] },
+)]
+fn finds_requests_to_endpoints_that_left(
+    started_ms: u64,
+    disturbance: Option<(DisturbedPart, u64)>,
+    expected: &[&str],
+) {
+    let mut evidence = SoakEvidence {
+        calls: vec![call(CallKind::Lookup, 200, "ok", true)],
+        runs: vec![run("a-1", None)],
+        ..SoakEvidence::default()
+    };
+    let left = evidence.runs[0].1.started_at - Duration::from_millis(started_ms);
+    evidence.departures.push(EndpointDeparture {
+        endpoint: "i-1".to_owned(),
+        left,
+        back: Some(left + Duration::from_secs(5)),
+    });
+    evidence
+        .disturbances
+        .extend(disturbance.map(|(part, end_ms)| SoakDisturbance {
+            part,
+            from: left - Duration::from_secs(1),
+            until: Some(left + Duration::from_millis(end_ms)),
+        }));
+    assert_eq!(violated_guarantees(&evidence), expected);
+}
+
 #[test]
 fn finds_requests_that_are_not_served_once_faults_are_over() {
     let mut evidence = SoakEvidence {
@@ -103,9 +143,10 @@
 #[test]
 fn equal_seeds_give_equal_plans_and_different_seeds_different_plans() {
     let length = Duration::from_secs(20);
-    assert_eq!(FaultPlan::draw(3, length), FaultPlan::draw(3, length));
-    assert_ne!(FaultPlan::draw(3, length), FaultPlan::draw(4, length));
-    let plan = FaultPlan::draw(3, length);
+    let draw = |seed| FaultPlan::draw(seed, length, SoakSize::scaled(1));
+    assert_eq!(draw(3), draw(3));
+    assert_ne!(draw(3), draw(4));
+    let plan = draw(3);
     let overlaps = plan
         .steps
         .windows(2)
@@ -123,6 +164,7 @@
     let options = SoakOptions {
         seed,
         length: Duration::from_secs(5),
+        size: SoakSize::scaled(1),
         program: PathBuf::from(env!("CARGO_BIN_EXE_trial")),
         folder: folder.path().to_owned(),
     };
