fix(gateway): a router that was suspended reads the store before it sends requests

What callers saw: requests that waited in the kernel while a router was suspended went to endpoints that had left meanwhile, until the router had read the store twice; the read in progress tells only of the first change. Cause: a copy of the store was used whatever its age, and the waking process served callers first. Change: a pause of over 1 s between ticks of the runtime counts as a suspension; requests are then held, at most 0.5 s, until a read that began after it. The follower does not wait for changes in the read after one that took too long.

--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -130,6 +130,7 @@
     };
     let mut message = build_request::<D>(shared, request, assignment, last_event_id);
     let response = loop {
+        shared.wait_for_current_copy().await;
         ensure_usable(shared, assignment)?;
         match connection.sender.try_send_request(message).await {
             Ok(response) => break response,
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod shared;
 mod store_follower;
 mod stream_relay;
+mod suspension;
 
 pub use daemon::run_gateway;
 pub use dialect::{AnswerFields, ForwardContext, GatewayDialect, RequestFields};
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use super::gateway_metrics::GatewayMetrics;
 use super::gateway_settings::GatewaySettings;
 use super::store_follower::StoreUpdate;
+use super::suspension::SuspensionGuard;
 use crate::clock::ProcessClock;
 use crate::events::EventLog;
 
@@ -64,6 +65,9 @@
     /// Whether the number of callers' connections is close to its limit.
     pub(super) is_near_connection_limit: Cell<bool>,
     lag: Cell<LagMeter>,
+    suspension: Cell<SuspensionGuard>,
+    /// Notified after each read of the store.
+    store_read: Notify,
     waiters: RefCell<SortedMap<RequestId, oneshot::Sender<StartVerdict>>>,
     wake: Notify,
     next_request: Cell<u64>,
@@ -85,6 +89,8 @@
             is_stopping: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
             lag: Cell::new(LagMeter::default()),
+            suspension: Cell::new(SuspensionGuard::new(clock.now())),
+            store_read: Notify::new(),
             waiters: RefCell::new(SortedMap::new()),
             wake: Notify::new(),
             next_request: Cell::new(1),
@@ -137,6 +143,7 @@
         loop {
             let due = self.now() + LAG_INTERVAL;
             tokio::time::sleep(LAG_INTERVAL).await;
+            self.check_suspension();
             let now = self.now();
             let lag = now.since(due);
             let was_behind = self.is_behind();
@@ -157,6 +164,34 @@
         }
     }
 
+    /// Waits for a read of the store if the process was suspended since the last one.
+    ///
+    /// While it was suspended, endpoints may have left.
+    pub(super) async fn wait_for_current_copy(&self) {
+        self.check_suspension();
+        loop {
+            let mut suspension = self.suspension.get();
+            let hold = suspension.hold_until(self.freshness.get(), self.now());
+            self.suspension.set(suspension);
+            let Some(until) = hold else {
+                return;
+            };
+            let limit = until.since(self.now()).max(Duration::from_millis(1));
+            // After the timeout, nothing is held back any more.
+            let _ = tokio::time::timeout(limit, self.store_read.notified()).await;
+        }
+    }
+
+    fn check_suspension(&self) {
+        let mut suspension = self.suspension.get();
+        let pause = suspension.tick(self.now());
+        self.suspension.set(suspension);
+        if let Some(pause) = pause {
+            self.log
+                .write("resumed", json!({"after_ms": pause.as_millis() as u64}));
+        }
+    }
+
     /// Registers a waiter for the machine's decision on a request.
     pub(super) fn register_waiter(&self, id: RequestId) -> oneshot::Receiver<StartVerdict> {
         let (sender, receiver) = oneshot::channel();
@@ -236,6 +271,7 @@
             self.desks.set_targets(self, &desks.collect());
         }
         self.drive();
+        self.store_read.notify_waiters();
     }
 
     fn run_action(&self, action: GatewayAction) {
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -26,6 +26,9 @@
 /// A write that the store has received may take effect several seconds late.
 const DEPARTED_MEMORY: Duration = Duration::from_secs(60);
 
+/// Time beyond its wait after which a read counts as interrupted by a suspension of the process.
+const SLOW_READ_TIME: Duration = Duration::from_millis(700);
+
 /// Time limits of a [`StoreFollower`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerTimes {
@@ -77,6 +80,8 @@
     /// Start of the first failed read since the last successful one.
     failing_since: Option<ClockTime>,
     grace_until: ClockTime,
+    /// Whether the last read took longer than the store may wait.
+    was_slow: bool,
     has_endpoint_changes: bool,
 }
 
@@ -94,6 +99,7 @@
             confirmed_at: ClockTime::default(),
             failing_since: None,
             grace_until: ClockTime::default(),
+            was_slow: false,
             has_endpoint_changes: false,
         }
     }
@@ -107,9 +113,10 @@
         let read = match self.revision {
             None => self.read_all(clock(), &mut update).map(|()| started_at),
             Some(after) => {
-                // After a failure, refreshing stale data at once matters more than saving a call.
-                let is_failing = self.failing_since.is_some();
-                let wait = if is_failing {
+                // After a failure or a suspension, refreshing stale data at once matters more than
+                // saving a call.
+                let is_stale = self.failing_since.is_some() || self.was_slow;
+                let wait = if is_stale {
                     Duration::ZERO
                 } else {
                     self.times.wait
@@ -124,6 +131,7 @@
             }
             Err(error) => self.record_failure(error, started_at, &mut update),
         }
+        self.was_slow = clock().since(started_at) > self.times.wait + SLOW_READ_TIME;
         self.drop_expired(clock(), &mut update);
         update.revision = self.revision.unwrap_or_default();
         if std::mem::take(&mut self.has_endpoint_changes) {
