fix(gateway): bodies without end no longer exhaust the memory of the router

Cause: each body may take 16 MiB, and nothing limited all of them together. Change: beyond 64 KiB each, the bodies that are being read share 32 MiB; one that exceeds it fails as broken. Small answers are not affected by it. Evidence: an_answer_without_end_is_cut_off_in_time_and_within_the_memory_limit fails before for four kinds of bodies and passes now (limit 130 MB).

--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! platform's store, write log lines, serve metrics and wait for signals.
 
 mod accept;
+mod answer_buffer;
 mod attempt;
 mod connection_pool;
 mod daemon;
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -8,7 +8,7 @@
 use cicadalock_core::id::{CustomerId, CustomerName};
 use cicadalock_core::serving::{RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::http::request::Parts;
@@ -27,9 +27,6 @@
 use super::stream_relay::{GatewayBody, StreamRelay};
 use crate::callers::{BodyError, read_body};
 
-/// Greatest body of a response that is not streamed.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
 /// `Retry-After` of refusals that should clear soon, such as before the first configuration has
 /// been read or while the process stops.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -477,10 +474,7 @@
         ..
     } = answer;
     let (parts, body) = response.into_parts();
-    let collected = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES)
-        .collect()
-        .await;
-    let body = collected.map_err(|error| error.to_string())?.to_bytes();
+    let body = shared.answer_buffers.read(body).await?;
     shared
         .pool
         .put(&endpoint, connection, &parts.headers, shared.now());
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tokio::sync::{Notify, oneshot};
 
+use super::answer_buffer::AnswerBuffers;
 use super::connection_pool::ConnectionPool;
 use super::desk_links::DeskLinks;
 use super::gateway_metrics::GatewayMetrics;
@@ -60,6 +61,7 @@
     pub(super) config: RefCell<Option<Arc<ServingConfig>>>,
     pub(super) freshness: Cell<StoreFreshness>,
     pub(super) pool: ConnectionPool,
+    pub(super) answer_buffers: AnswerBuffers,
     pub(super) desks: DeskLinks,
     pub(super) is_stopping: Cell<bool>,
     /// Whether the number of callers' connections is close to its limit.
@@ -85,6 +87,7 @@
             config: RefCell::new(None),
             freshness: Cell::new(StoreFreshness::default()),
             pool: ConnectionPool::default(),
+            answer_buffers: AnswerBuffers::default(),
             desks: DeskLinks::default(),
             is_stopping: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
