fix(gateway): endless informational answers no longer stall the router

What callers saw (in a test): while one endpoint sent informational heads without end to 24 requests, every answer of the router came after up to 10.3 s instead of 1.2 s. Cause: the HTTP library reads and drops such heads in a loop; each turn of it parsed megabytes before other tasks ran, timers included. Change: at most 64 KiB are read from an endpoint before the head of an answer is complete; then the connection waits, and the attempt ends at its timeout. The parser's buffer has the same limit. Evidence: the case of informational answers fails before (10.3 s, bound 1.7 s) and passes now.

--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -132,7 +132,7 @@
     let response = loop {
         shared.wait_for_current_copy().await;
         ensure_usable(shared, assignment)?;
-        match connection.sender.try_send_request(message).await {
+        match connection.send(message).await {
             Ok(response) => break response,
             Err(mut error) => match error.take_message() {
                 // The endpoint closed the idle connection before any of the request was sent.
--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,13 +8,16 @@
 use cicadalock_core::id::EndpointId;
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
-use hyper::HeaderMap;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::head_gate::{GatedStream, HeadGate, MAX_HEAD_BYTES};
 use crate::process::SocketTimeouts;
 
 /// Timeout for connecting to an endpoint; round trips within a region take a few milliseconds.
@@ -56,14 +60,30 @@
 /// A connection to an endpoint; dropping it aborts the task that drives it.
 #[derive(Debug)]
 pub(super) struct EndpointConnection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
     pub(super) is_reused: bool,
+    gate: Rc<HeadGate>,
     _driver: DriverHandle,
 }
 
 #[derive(Debug)]
 struct DriverHandle(AbortHandle);
 
+impl EndpointConnection {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// Endless bytes in place of a head are not read, so that this waits until the caller gives up.
+    pub(super) async fn send(
+        &mut self,
+        message: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.gate.expect_head();
+        let response = self.sender.try_send_request(message).await?;
+        self.gate.lift();
+        Ok(response)
+    }
+}
+
 impl Drop for DriverHandle {
     fn drop(&mut self) {
         self.0.abort();
@@ -145,7 +165,11 @@
         Err(_) => return Err("connection not established in time".to_owned()),
     };
     set_socket_options(&stream);
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let gate = HeadGate::new();
+    let stream = GatedStream::new(stream, Rc::clone(&gate));
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(|error| error.to_string())?;
     let driver = tokio::task::spawn_local(async move {
         // The sender reports the error to the task that waits for the answer.
@@ -154,6 +178,7 @@
     Ok(EndpointConnection {
         sender,
         is_reused: false,
+        gate,
         _driver: DriverHandle(driver.abort_handle()),
     })
 }
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_settings;
+mod head_gate;
 mod metrics_port;
 mod platform_store;
 mod ready_port;
