--- a/crates/cicadalock-node/src/gateway/event_splitter.rs
+++ b/crates/cicadalock-node/src/gateway/event_splitter.rs
@@ -1,7 +1,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an incomplete event that is buffered, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits a `text/event-stream` into complete events.
 ///
@@ -60,7 +60,7 @@
         self.partial.split().freeze()
     }
 
-    /// Returns whether the incomplete event exceeds the size limit of 1 MiB.
+    /// Returns whether the incomplete event exceeds the size limit of 256 KiB.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
         self.partial.len() > MAX_EVENT_BYTES
