fix(gateway): a request that arrives while the timer sleeps is checked on time

What callers saw: behind a frozen desk, the first request after a quiet time was answered after 1.07 s, as its desk was found silent only when the next exchange of totals was due, up to 1 s later, instead of 0.35 s after it was asked. Cause: the timer slept until a time that was computed before the request came, and its wake was only watched while nothing was due. Change: the machine's next deadline is compared with the timer's after each event; an earlier one wakes the timer.

--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -71,6 +71,9 @@
     /// Notified after each read of the store.
     store_read: Notify,
     waiters: RefCell<SortedMap<RequestId, oneshot::Sender<StartVerdict>>>,
+    /// When [`Self::run_timer`] runs the machine next.
+    timer_due: Cell<Option<ClockTime>>,
+    /// Notifies [`Self::run_timer`] that the machine has to run earlier.
     wake: Notify,
     next_request: Cell<u64>,
 }
@@ -95,6 +98,7 @@
             suspension: Cell::new(SuspensionGuard::new(clock.now())),
             store_read: Notify::new(),
             waiters: RefCell::new(SortedMap::new()),
+            timer_due: Cell::new(None),
             wake: Notify::new(),
             next_request: Cell::new(1),
         })
@@ -206,7 +210,7 @@
         self.waiters.borrow_mut().remove(&id);
     }
 
-    /// Runs the machine's pending actions and notifies [`Self::run_timer`].
+    /// Runs the machine's pending actions, and tells [`Self::run_timer`] if it is due earlier now.
     pub(super) fn drive(&self) {
         loop {
             let actions = self.machine.borrow_mut().take_actions(self.now());
@@ -217,18 +221,30 @@
                 self.run_action(action);
             }
         }
-        self.wake.notify_one();
+        let due = self.machine.borrow().next_wake();
+        let is_earlier = match (due, self.timer_due.get()) {
+            (Some(due), Some(planned)) => due < planned,
+            (due, None) => due.is_some(),
+            (None, Some(_)) => false,
+        };
+        if is_earlier {
+            self.timer_due.set(due);
+            self.wake.notify_one();
+        }
     }
 
     /// Runs the machine whenever one of its deadlines passes, until dropped.
     pub(super) async fn run_timer(&self) {
         loop {
             let due = self.machine.borrow().next_wake();
+            self.timer_due.set(due);
             match due {
                 Some(due) => {
                     let pause = due.since(self.now()).max(Duration::from_millis(1));
-                    tokio::time::sleep(pause).await;
-                    self.drive();
+                    tokio::select! {
+                        () = tokio::time::sleep(pause) => self.drive(),
+                        () = self.wake.notified() => {}
+                    }
                 }
                 None => self.wake.notified().await,
             }
