fix(sidecar): the ledger knows the outcome before the caller has the whole answer

What callers saw: a booking that was retried at another router right after its complete first answer got 409 key-in-progress, outcome unknown. Cause: a caller has the whole body of a declared length before the end of the answer is sent; the sidecar reported the end to its ledger only after it had sent the last part. Change: the part that completes a body of declared length is held back until the report.

--- a/crates/cicadalock-node/src/endpoint/call.rs
+++ b/crates/cicadalock-node/src/endpoint/call.rs
@@ -119,6 +119,7 @@
             CallResult::NotReached | CallResult::TooLate => None,
         };
         context.count(&result);
+        // The ledger records the outcome before the caller can have the whole answer.
         let input = HubInput::Role(SidecarInput::Ended(grant, result, cost));
         let _ = context.hub.send_async(input).await;
         if let Some(state) = state {
@@ -189,8 +190,9 @@
             };
             *meter = Some(new_meter);
         }
+        let length = response.body().size_hint().exact();
         relay
-            .send_head(status, answer_headers(response.headers()))
+            .send_head(status, answer_headers(response.headers()), length)
             .await;
         self.forward_body(response.into_body(), relay, meter)
             .await?;
--- a/crates/cicadalock-node/src/endpoint/relay.rs
+++ b/crates/cicadalock-node/src/endpoint/relay.rs
@@ -25,6 +25,10 @@
     outbox: LinkOutbox,
     window: Arc<Semaphore>,
     offset: u64,
+    /// Bytes of the body until its declared end; `None` if the endpoint declared no length.
+    declared_left: Option<u64>,
+    /// The part that completes a body of declared length, until [`Self::send_end`].
+    last_part: Vec<u8>,
     is_abandoned: bool,
     /// Maximum size of the stored copy's body, in bytes; zero stores none.
     max_stored_bytes: usize,
@@ -43,6 +47,8 @@
             outbox,
             window,
             offset: 0,
+            declared_left: None,
+            last_part: Vec::new(),
             is_abandoned: false,
             max_stored_bytes,
             stored: None,
@@ -50,7 +56,15 @@
     }
 
     /// Sends the status and the header fields.
-    pub(super) async fn send_head(&mut self, status: u16, headers: Vec<HeaderField>) {
+    ///
+    /// `length` is the length that the endpoint declared for the body.
+    pub(super) async fn send_head(
+        &mut self,
+        status: u16,
+        headers: Vec<HeaderField>,
+        length: Option<u64>,
+    ) {
+        self.declared_left = length;
         if self.max_stored_bytes > 0 {
             let fields = headers.iter().map(|field| {
                 (
@@ -73,12 +87,26 @@
     }
 
     /// Sends part of the body; returns false if the answer is abandoned.
+    ///
+    /// Holds back the part that completes a body of declared length: a caller that has all of it may
+    /// retry at once, and by then the ledger must know the outcome.
     pub(super) async fn send_body(&mut self, bytes: &[u8]) -> bool {
         self.store_part(bytes);
+        if let Some(left) = &mut self.declared_left {
+            *left = left.saturating_sub(bytes.len() as u64);
+            if *left == 0 {
+                self.last_part.extend_from_slice(bytes);
+                return !self.is_abandoned;
+            }
+        }
+        self.send_part(bytes).await;
+        !self.is_abandoned
+    }
+
+    async fn send_part(&mut self, bytes: &[u8]) {
         for part in bytes.chunks(MAX_CHUNK_BYTES) {
             self.send_chunk(part).await;
         }
-        !self.is_abandoned
     }
 
     /// Returns whether the caller stopped reading or the connection to the router has ended.
@@ -86,10 +114,12 @@
         self.is_abandoned
     }
 
-    /// Sends the end of the answer.
+    /// Sends the part that was held back and the end of the answer.
     ///
     /// `state` is one of [`end_state`](cicadalock_core::message::end_state).
     pub(super) async fn send_end(&mut self, state: u32) {
+        let last_part = std::mem::take(&mut self.last_part);
+        self.send_part(&last_part).await;
         let end = AnswerEnd {
             grant: self.grant,
             state,
