fix(gateway): short interruptions do not extend the time of a missing endpoint

Cause: each failed read made the time of all missing endpoints open, and the next success set it anew, so that reads failing now and then could keep the last endpoint of a service in use for longer than the drain time after its removal. Change: only an outage of at least the drain time opens and renews the times. Evidence: short_interruptions_do_not_extend_the_time_of_a_missing_endpoint fails before.

--- a/crates/cicadalock-core/src/serving/endpoint_list.rs
+++ b/crates/cicadalock-core/src/serving/endpoint_list.rs
@@ -54,11 +54,13 @@
     /// Returns whether the endpoint may still serve new requests at `now`.
     #[must_use]
     pub fn is_available(self, now: ClockTime) -> bool {
-        match self {
-            Self::Ready => true,
-            Self::Draining => false,
-            Self::Missing { until } => until.is_none_or(|until| now < until),
-        }
+        self != Self::Draining && !self.is_expired(now)
+    }
+
+    /// Returns whether the endpoint is missing and counts as gone at `now`.
+    #[must_use]
+    pub fn is_expired(self, now: ClockTime) -> bool {
+        matches!(self, Self::Missing { until: Some(until) } if now >= until)
     }
 }
 
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -129,10 +129,12 @@
                 update.confirmed_at = Some(confirmed_at);
                 self.record_success(confirmed_at, clock(), &mut update);
             }
-            Err(error) => self.record_failure(error, started_at, &mut update),
+            Err(error) => self.record_failure(error, started_at, clock(), &mut update),
         }
         self.was_slow = clock().since(started_at) > self.times.wait + SLOW_READ_TIME;
-        self.drop_expired(clock(), &mut update);
+        if self.failing_since.is_none() {
+            self.drop_expired(clock(), &mut update);
+        }
         update.revision = self.revision.unwrap_or_default();
         if std::mem::take(&mut self.has_endpoint_changes) {
             update.endpoints = Some(self.endpoints.clone());
@@ -298,29 +300,31 @@
 
     /// Drops the missing endpoints whose time is over.
     fn drop_expired(&mut self, now: ClockTime, update: &mut StoreUpdate) {
-        let gone = |listed: &ListedEndpoint| !listed.state.is_available(now) && listed.is_missing();
-        let gone: Vec<EndpointId> = self
+        let expired = self
             .endpoints
             .iter()
-            .filter(|(_, listed)| gone(listed))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in gone {
+            .filter(|(_, listed)| listed.state.is_expired(now));
+        let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
+        for id in expired {
             self.forget_endpoint(id, now, update);
         }
         self.departed
             .retain(|_, (_, dropped_at)| now.since(*dropped_at) < DEPARTED_MEMORY);
     }
 
-    /// Sets the time from which missing endpoints count as gone.
-    fn set_expiry(&mut self, expiry: Option<ClockTime>) {
-        for listed in self
-            .endpoints
-            .values_mut()
-            .filter(|listed| listed.is_missing())
-        {
-            listed.state = ListingState::Missing { until: expiry };
-            self.has_endpoint_changes = true;
+    /// Replaces the time from which missing endpoints count as gone, where `is_replaced` is true of it.
+    fn set_expiry(
+        &mut self,
+        expiry: Option<ClockTime>,
+        is_replaced: impl Fn(Option<ClockTime>) -> bool,
+    ) {
+        for listed in self.endpoints.values_mut() {
+            if let ListingState::Missing { until } = &mut listed.state
+                && is_replaced(*until)
+            {
+                *until = expiry;
+                self.has_endpoint_changes = true;
+            }
         }
     }
 
@@ -332,19 +336,23 @@
     ) {
         if let Some(since) = self.failing_since.take() {
             self.grace_until = now + REREGISTRATION_GRACE;
-            // After a short interruption, the drain bound holds as if there had been none.
-            let is_short = now.since(self.confirmed_at) < self.times.drain;
-            let due = if is_short {
-                self.removal_due()
+            if self.is_outage_long(now) {
+                self.set_expiry(Some(self.grace_until), |_| true);
             } else {
-                ClockTime::MAX
-            };
-            self.set_expiry(Some(self.grace_until.min(due)));
+                // The drain bound holds as if there had been no interruption.
+                let due = self.grace_until.min(self.removal_due());
+                self.set_expiry(Some(due), |until| until.is_none());
+            }
             update.ended_outage = Some(now.since(since));
         }
         self.confirmed_at = confirmed_at;
     }
 
+    /// Returns whether the host could not keep the drain bound, as it read nothing for that long.
+    fn is_outage_long(&self, now: ClockTime) -> bool {
+        now.since(self.confirmed_at) >= self.times.drain
+    }
+
     /// Returns when a removal that is read now must be in force.
     ///
     /// The endpoint may have left right after the last confirmation.
@@ -356,6 +364,7 @@
         &mut self,
         error: StoreError,
         started_at: ClockTime,
+        now: ClockTime,
         update: &mut StoreUpdate,
     ) {
         if matches!(error, StoreError::HistoryGone) {
@@ -365,10 +374,10 @@
             return;
         }
         let is_first = self.failing_since.is_none();
-        if is_first {
-            self.failing_since = Some(started_at);
+        self.failing_since.get_or_insert(started_at);
+        if self.is_outage_long(now) {
             // Missing entries cannot be renewed while the store is unavailable.
-            self.set_expiry(None);
+            self.set_expiry(None, |until| until.is_some());
         }
         update.failure = Some((error, is_first));
     }
