fix(trial): the fault proxy lets go of the sockets of ended connections

Each connection kept two copies of its sockets until the next cut and used six descriptors, so that a soak of 36 processes ran out of 20,000 descriptors. Streams are shared by the copying threads now, and ended ones are forgotten.

--- a/crates/trial/src/proxy/fault_proxy.rs
+++ b/crates/trial/src/proxy/fault_proxy.rs
@@ -1,7 +1,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -38,7 +38,8 @@
 struct ProxyShared {
     target: SocketAddr,
     fault: Mutex<ProxyFault>,
-    open_streams: Mutex<Vec<TcpStream>>,
+    /// Streams of the connections; those of ended ones are removed when the next one begins.
+    open_streams: Mutex<Vec<Weak<TcpStream>>>,
     should_stop: AtomicBool,
 }
 
@@ -89,7 +90,8 @@
 
     /// Closes every open connection in both directions.
     pub fn cut(&self) {
-        for stream in lock(&self.shared.open_streams).drain(..) {
+        let open_streams = std::mem::take(&mut *lock(&self.shared.open_streams));
+        for stream in open_streams.iter().filter_map(Weak::upgrade) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -131,34 +133,30 @@
     client: TcpStream,
     upstream: TcpStream,
     shared: &Arc<ProxyShared>,
-) -> Vec<JoinHandle<()>> {
-    let copies = (
-        client.try_clone(),
-        upstream.try_clone(),
-        client.try_clone(),
-        upstream.try_clone(),
-    );
-    let (Ok(client_writer), Ok(upstream_writer), Ok(client_handle), Ok(upstream_handle)) = copies
-    else {
-        return Vec::new();
-    };
+) -> [JoinHandle<()>; 2] {
     for stream in [&client, &upstream] {
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(READ_TIMEOUT));
     }
-    lock(&shared.open_streams).extend([client_handle, upstream_handle]);
+    let (client, upstream) = (Arc::new(client), Arc::new(upstream));
+    let mut open_streams = lock(&shared.open_streams);
+    open_streams.retain(|stream| stream.strong_count() > 0);
+    open_streams.extend([&client, &upstream].map(Arc::downgrade));
+    drop(open_streams);
     let (forward, backward) = (Arc::clone(shared), Arc::clone(shared));
-    vec![
-        std::thread::spawn(move || copy_bytes(client, upstream_writer, &forward, true)),
-        std::thread::spawn(move || copy_bytes(upstream, client_writer, &backward, false)),
+    let (forward_client, forward_upstream) = (Arc::clone(&client), Arc::clone(&upstream));
+    [
+        std::thread::spawn(move || copy_bytes(&forward_client, &forward_upstream, &forward, true)),
+        std::thread::spawn(move || copy_bytes(&upstream, &client, &backward, false)),
     ]
 }
 
-fn copy_bytes(mut from: TcpStream, mut to: TcpStream, shared: &ProxyShared, is_forward: bool) {
+fn copy_bytes(from: &TcpStream, to: &TcpStream, shared: &ProxyShared, is_forward: bool) {
+    let (mut reader, mut writer) = (from, to);
     let mut bytes = vec![0; 16 * 1024];
     while !shared.should_stop.load(Ordering::Relaxed) {
-        let count = match from.read(&mut bytes) {
+        let count = match reader.read(&mut bytes) {
             Ok(0) => break,
             Ok(count) => count,
             Err(error) if is_read_timeout(&error) => continue,
@@ -169,7 +167,7 @@
         while is_held(shared, is_forward) && !shared.should_stop.load(Ordering::Relaxed) {
             std::thread::sleep(POLL_INTERVAL);
         }
-        if to.write_all(&bytes[..count]).is_err() {
+        if writer.write_all(&bytes[..count]).is_err() {
             break;
         }
     }
