fix(sidecar): an empty answer is in the ledger before its caller has it

What callers saw (in a test): a booking that was retried right after its complete empty answer could be told that its first run was in progress. Cause: held back the last part of a body; an answer without one is complete with its head. Change: whatever completes an answer of declared length, head or last part, is held back until the report to the ledger.

--- a/crates/cicadalock-node/src/endpoint/relay.rs
+++ b/crates/cicadalock-node/src/endpoint/relay.rs
@@ -27,6 +27,8 @@
     offset: u64,
     /// Bytes of the body until its declared end; `None` if the endpoint declared no length.
     declared_left: Option<u64>,
+    /// The head of an answer without a body, until [`Self::send_end`].
+    held_head: Option<AnswerHead>,
     /// The part that completes a body of declared length, until [`Self::send_end`].
     last_part: Vec<u8>,
     is_abandoned: bool,
@@ -48,6 +50,7 @@
             window,
             offset: 0,
             declared_left: None,
+            held_head: None,
             last_part: Vec::new(),
             is_abandoned: false,
             max_stored_bytes,
@@ -57,7 +60,10 @@
 
     /// Sends the status and the header fields.
     ///
-    /// `length` is the length that the endpoint declared for the body.
+    /// `length` is the length that the endpoint declared for the body. A caller that has all of an
+    /// answer may retry at once, and by then the ledger must know the outcome. What completes the
+    /// answer, the head or the last part of the body, is therefore held back until
+    /// [`Self::send_end`].
     pub(super) async fn send_head(
         &mut self,
         status: u16,
@@ -83,13 +89,16 @@
             status: u32::from(status),
             headers,
         };
-        self.send(PeerMessage::Head(head)).await;
+        if length == Some(0) {
+            self.held_head = Some(head);
+        } else {
+            self.send(PeerMessage::Head(head)).await;
+        }
     }
 
-    /// Sends part of the body; returns false if the answer is abandoned.
+    /// Sends part of the body, or holds it back if it is the last one of a declared length.
     ///
-    /// Holds back the part that completes a body of declared length: a caller that has all of it may
-    /// retry at once, and by then the ledger must know the outcome.
+    /// Returns false if the answer is abandoned.
     pub(super) async fn send_body(&mut self, bytes: &[u8]) -> bool {
         self.store_part(bytes);
         if let Some(left) = &mut self.declared_left {
@@ -114,10 +123,13 @@
         self.is_abandoned
     }
 
-    /// Sends the part that was held back and the end of the answer.
+    /// Sends what was held back and the end of the answer.
     ///
     /// `state` is one of [`end_state`](cicadalock_core::message::end_state).
     pub(super) async fn send_end(&mut self, state: u32) {
+        if let Some(head) = self.held_head.take() {
+            self.send(PeerMessage::Head(head)).await;
+        }
         let last_part = std::mem::take(&mut self.last_part);
         self.send_part(&last_part).await;
         let end = AnswerEnd {
--- a/crates/trial/src/standin/service.rs
+++ b/crates/trial/src/standin/service.rs
@@ -85,6 +85,7 @@
         .record_usage(customer, kind, busy.as_millis() as i64);
     let full_body = json!({ "done": text }).to_string();
     match header(FAULT_HEADER) {
+        "empty-body" => respond(200, ""),
         "status-500" => respond(500, full_body),
         "short-length" => truncated_answer(&full_body, true),
         "no-end" => truncated_answer(&full_body, false),
--- a/crates/trial/tests/bookings.rs
+++ b/crates/trial/tests/bookings.rs
@@ -36,6 +36,22 @@
     }
 }
 
+#[test]
+fn a_booking_with_an_empty_answer_is_complete_when_it_is_retried_at_once() {
+    let fleet = desk_fleet(3, 2).start().expect("the fleet starts");
+    wait_until_keys_fresh(&fleet);
+    for number in 0..6 {
+        let plan = booking(Some(&new_key()), &format!("empty {number}"));
+        let plan = with_header(plan, "x-standin-fault", "empty-body");
+        for router in &fleet.routers {
+            let answer = send(router.callers, &plan);
+            assert_eq!(answer.verdict, CallVerdict::Complete);
+            assert!(answer.body.is_empty());
+        }
+        assert_eq!(count_effects(&fleet, "udlaan", &plan.body), 1);
+    }
+}
+
 #[test]
 fn a_retry_of_a_running_request_is_unknown_and_another_body_is_refused() {
     let fleet = desk_fleet(3, 2).start().expect("the fleet starts");
