feat(gateway): lines of attempts name the prompt's shared parts and their times

'start' and 'attempt-failed' now carry 'parts', the latter 'sent_ms' and 'answered_ms' as well. Ids of parts are a type of their own (PartId), as they appear in logs. No decision changes.

--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -108,7 +108,7 @@
         ranked.sort_by_key(|id| std::cmp::Reverse(rendezvous_score(LONG_PROMPT_KEY, id)));
         let count = self.long_endpoint_count(call, ranked.len());
         let short_endpoints = ranked.split_off(count.min(ranked.len()));
-        let key = prompt.shared().last().map(|part| part.id);
+        let key = prompt.shared().last().map(|part| part.id.get());
         let group = if is_long { &ranked } else { &short_endpoints };
         let preferred = key.and_then(|key| {
             group
--- a/crates/cicadalock-core/src/id/mod.rs
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -10,8 +10,10 @@
 
 mod name;
 mod number;
+mod part;
 
 pub use name::{CustomerName, EndpointId, HostName, KindName, NameError, ServiceName, ZoneName};
 pub use number::{
     CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision,
 };
+pub use part::PartId;
--- a/crates/cicadalock-core/src/place/prefix_memory.rs
+++ b/crates/cicadalock-core/src/place/prefix_memory.rs
@@ -75,7 +75,7 @@
 /// Returns the key and tokens of each shared part; a key also covers the parts before it.
 fn prefix_keys(prompt: &PromptShape) -> impl Iterator<Item = (u64, u32)> {
     prompt.shared().iter().scan(0_u64, |before, part| {
-        *before = before.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ part.id;
+        *before = before.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ part.id.get();
         Some((*before, part.tokens))
     })
 }
--- a/crates/cicadalock-core/src/serving/prompt.rs
+++ b/crates/cicadalock-core/src/serving/prompt.rs
@@ -2,6 +2,8 @@
 
 use snafu::{OptionExt, Snafu, ensure};
 
+use crate::id::PartId;
+
 /// Maximum number of parts of a prompt; longer lists are rejected.
 const MAX_PARTS: usize = 64;
 
@@ -9,7 +11,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
     /// Identifies the text of the part.
-    pub id: u64,
+    pub id: PartId,
     /// Length in tokens.
     pub tokens: u32,
 }
@@ -87,7 +89,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (id, tokens) = text.trim().split_once(':').context(BadPartSnafu { text })?;
-        let id = u64::from_str_radix(id, 16).ok();
+        let id = id.parse().ok();
         let tokens = tokens.parse().ok();
         Ok(Self {
             id: id.context(BadPartSnafu { text })?,
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use cicadalock_core::gateway::AttemptEnd;
-use cicadalock_core::id::{CustomerName, EndpointId};
+use cicadalock_core::id::{CustomerName, EndpointId, PartId};
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -43,6 +43,17 @@
     pub(super) deadline: ClockTime,
     /// Whether the request may run more than once.
     pub(super) may_retry: bool,
+    /// Ids of the prompt's parts that other requests may share, in order.
+    pub(super) shared_parts: Vec<PartId>,
+}
+
+/// Where and when an attempt was sent, and when its answer began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct AttemptProgress {
+    pub(super) endpoint: EndpointId,
+    pub(super) started_at: ClockTime,
+    /// Time of the first event that was received; `None` before it.
+    pub(super) begun_at: Option<ClockTime>,
 }
 
 /// An endpoint's answer whose head was received and whose body is still to be read.
@@ -60,6 +71,22 @@
     pub(super) detail: String,
 }
 
+impl AttemptProgress {
+    /// Creates the progress of an attempt that starts now.
+    pub(super) fn new(assignment: &EndpointAssignment) -> Self {
+        Self {
+            endpoint: assignment.endpoint.clone(),
+            started_at: assignment.started_at,
+            begun_at: None,
+        }
+    }
+
+    /// Records that an event was received.
+    pub(super) fn record_event(&mut self, now: ClockTime) {
+        self.begun_at.get_or_insert(now);
+    }
+}
+
 impl AttemptFailure {
     pub(super) fn new(end: AttemptEnd, detail: impl Into<String>) -> Self {
         Self {
@@ -75,18 +102,23 @@
     pub(super) fn log(
         &self,
         shared: &GatewayShared,
-        number: &str,
-        endpoint: &EndpointId,
+        request: &CallerRequest,
+        progress: &AttemptProgress,
         next: &str,
     ) {
+        let now = shared.now();
+        let parts: Vec<String> = request.shared_parts.iter().map(PartId::to_string).collect();
         shared.log.write(
             "attempt-failed",
             json!({
-                "request": number,
+                "request": request.number,
                 "end": self.end.name(),
                 "detail": self.detail,
-                "endpoint": endpoint.as_str(),
+                "endpoint": progress.endpoint.as_str(),
                 "next": next,
+                "sent_ms": now.since(progress.started_at).as_millis() as u64,
+                "answered_ms": progress.begun_at.map(|begun| now.since(begun).as_millis() as u64),
+                "parts": parts,
             }),
         );
     }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -17,7 +17,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{
-    AttemptFailure, CallerRequest, EndpointAnswer, attempt, remove_hop_by_hop_headers,
+    AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt,
+    remove_hop_by_hop_headers,
 };
 use super::dialect::{GatewayDialect, RequestFields};
 use super::gateway_metrics::AnswerLabels;
@@ -178,6 +179,8 @@
         BodyError::TimedOut => CallerRefusal::client_error(408, "slow-body"),
     })?;
     let path = parts.uri.path_and_query().cloned();
+    let prompt = fields.prompt.iter();
+    let shared_parts = prompt.flat_map(|prompt| prompt.shared());
     let request = CallerRequest {
         method: parts.method,
         uri: path.map_or_else(|| Uri::from_static("/"), Uri::from),
@@ -187,6 +190,7 @@
         customer,
         deadline,
         may_retry: route.may_retry(),
+        shared_parts: shared_parts.map(|part| part.id).collect(),
     };
     Ok(RequestHandler {
         shared: Rc::clone(shared),
@@ -245,8 +249,8 @@
                 Ok(()) => {
                     failure.log(
                         &self.shared,
-                        &self.request.number,
-                        &assignment.endpoint,
+                        &self.request,
+                        &AttemptProgress::new(&assignment),
                         "repeated",
                     );
                     continue;
@@ -255,8 +259,8 @@
             };
             failure.log(
                 &self.shared,
-                &self.request.number,
-                &assignment.endpoint,
+                &self.request,
+                &AttemptProgress::new(&assignment),
                 denial,
             );
             return match answer {
@@ -346,6 +350,7 @@
             silence_limit: self.route.silence_limit(),
             arrived: self.arrived,
             resume_after: self.fields.resume_after.clone(),
+            progress: AttemptProgress::new(assignment),
         };
         let mut response = Response::new(relay.start::<D>(answer));
         *response.status_mut() = status;
@@ -403,6 +408,8 @@
             .metrics
             .wait
             .observe(assignment.waited.as_secs_f64());
+        let parts = self.request.shared_parts.iter();
+        let parts: Vec<String> = parts.map(ToString::to_string).collect();
         self.shared.log.write(
             "start",
             json!({
@@ -413,6 +420,7 @@
                 "age_ms": self.shared.store_data_age().map(|age| age.as_millis() as u64),
                 "endpoint": assignment.endpoint.as_str(),
                 "waited_ms": assignment.waited.as_millis() as u64,
+                "parts": parts,
                 "expected_ms": assignment.expected.as_millis() as u64,
             }),
         );
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -46,6 +46,7 @@
 pub(super) struct EndpointAssignment {
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
+    pub(super) started_at: ClockTime,
     pub(super) waited: Duration,
     pub(super) expected: Duration,
 }
@@ -318,6 +319,7 @@
                 let assignment = EndpointAssignment {
                     endpoint,
                     address,
+                    started_at: self.now(),
                     waited,
                     expected,
                 };
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -15,7 +15,7 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use super::attempt::{AttemptFailure, CallerRequest, EndpointAnswer, attempt};
+use super::attempt::{AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt};
 use super::connection_pool::EndpointConnection;
 use super::dialect::GatewayDialect;
 use super::event_splitter::EventSplitter;
@@ -88,6 +88,8 @@
     pub(super) arrived: ClockTime,
     /// Id of the event after which the caller asked to resume the stream.
     pub(super) resume_after: Option<String>,
+    /// The attempt whose events are forwarded.
+    pub(super) progress: AttemptProgress,
 }
 
 /// How one endpoint's part of a stream ended.
@@ -203,6 +205,7 @@
             if !has_started {
                 self.record_first_event();
             }
+            self.progress.record_event(self.shared.now());
             if caller.send(StreamChunk::Bytes(events)).await.is_err() {
                 return PartEnd::CallerLeft;
             }
@@ -226,7 +229,7 @@
             let call = self.guard.finish_attempt(failure.end)?;
             let denial = self.guard.retry(call, failure.end).err();
             let next = denial.map_or("repeated", RetryDenial::name);
-            failure.log(&self.shared, &self.request.number, &endpoint, next);
+            failure.log(&self.shared, &self.request, &self.progress, next);
             if denial.is_some() {
                 self.log_end(next, &endpoint, splitter);
                 return None;
@@ -242,6 +245,7 @@
                 return None;
             };
             endpoint = assignment.endpoint.clone();
+            self.progress = AttemptProgress::new(&assignment);
             let after = splitter
                 .last_id()
                 .or(self.resume_after.as_deref())
--- a/crates/trial/src/emulator/load_draw.rs
+++ b/crates/trial/src/emulator/load_draw.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use cicadalock_core::id::PartId;
 use cicadalock_core::serving::{PromptPart, PromptShape};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -89,11 +90,11 @@
     let hint = f64::from(output) * log_normal(HINT_SPREAD, rng);
     let shared = kind.shared_tokens as u32;
     let own_part = PromptPart {
-        id: number | 1 << 63,
+        id: PartId::new(number | 1 << 63),
         tokens: own,
     };
     let shared_part = PromptPart {
-        id: (index as u64) << 32 | subject as u64,
+        id: PartId::new((index as u64) << 32 | subject as u64),
         tokens: shared,
     };
     let size = f64::from(own + shared) / (kind.own_tokens.mean + kind.shared_tokens);
--- a/crates/trial/src/emulator/outcome_table.rs
+++ b/crates/trial/src/emulator/outcome_table.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cicadalock_core::collect::SortedMap;
+use cicadalock_core::id::PartId;
 use cicadalock_core::time::ClockTime;
 use plotters::prelude::*;
 
@@ -202,7 +203,7 @@
 /// vain. No scheduling can earn more. Most of the gap to the earned credit comes from the arrival
 /// times and objectives of requests, which the bound ignores.
 fn ceiling(load: &LoadFile, calls: &[DrawnCall]) -> f64 {
-    let mut seen: SortedMap<u64, ()> = SortedMap::new();
+    let mut seen: SortedMap<PartId, ()> = SortedMap::new();
     let mut candidates: Vec<(f64, f64)> = Vec::new();
     for call in calls {
         let shared = call.prompt.shared().first();
--- a/crates/trial/src/emulator/prefix_cache.rs
+++ b/crates/trial/src/emulator/prefix_cache.rs
@@ -57,7 +57,7 @@
 /// Yields each part of a prompt with a key that depends on the part and all parts before it.
 fn prefix_keys(parts: &[PromptPart]) -> impl Iterator<Item = (u64, &PromptPart)> {
     parts.iter().scan(0_u64, |key, part| {
-        *key = (key.rotate_left(17) ^ part.id).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        *key = (key.rotate_left(17) ^ part.id.get()).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         Some((*key, part))
     })
 }
--- a/crates/trial/tests/emulator.rs
+++ b/crates/trial/tests/emulator.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use cicadalock_core::id::PartId;
 use cicadalock_core::serving::{PromptPart, PromptShape};
 use trial::emulator::{
     EmulatorOptions, EngineEvent, EngineModel, EngineRequest, LoadFile, emulate,
@@ -18,11 +19,11 @@
 fn request(number: u64, shared: u64, own: u32, output: u32) -> EngineRequest {
     let parts = vec![
         PromptPart {
-            id: shared,
+            id: PartId::new(shared),
             tokens: 5_000,
         },
         PromptPart {
-            id: 1_000 + number,
+            id: PartId::new(1_000 + number),
             tokens: own,
         },
     ];
