fix(gateway): a stream that ends inside an event is broken off, not complete

Callers: an answer without length and chunks whose endpoint crashed, or a chunked one whose end came inside an event, was passed on as whole with half an event; a stream that may be resumed was not. Cause: the end of the body was taken for the end of the stream, and the bytes of a begun event were handed out. Now such a stream fails, or goes on at another endpoint after its last complete event. The splitter's property test compares the retained bytes as before; take_partial, which only the fault used, is replaced by partial.

--- a/crates/cicadalock-node/src/gateway/event_splitter.rs
+++ b/crates/cicadalock-node/src/gateway/event_splitter.rs
@@ -55,9 +55,10 @@
         self.partial.clear();
     }
 
-    /// Takes the bytes after the last complete event out of the buffer.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
+    /// Returns the bytes after the last complete event.
+    #[must_use]
+    pub fn partial(&self) -> &[u8] {
+        &self.partial
     }
 
     /// Returns whether the incomplete event exceeds the size limit of 256 KiB.
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -183,13 +183,10 @@
                 }
             };
             let bytes = match frame {
-                None => {
-                    let rest = splitter.take_partial();
-                    if !rest.is_empty() && caller.send(StreamChunk::Bytes(rest)).await.is_err() {
-                        return PartEnd::CallerLeft;
-                    }
-                    return PartEnd::Complete;
+                None if !splitter.partial().is_empty() => {
+                    return PartEnd::Broken("the stream ended inside an event".to_owned());
                 }
+                None => return PartEnd::Complete,
                 Some(Err(error)) => return PartEnd::Broken(error.to_string()),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) => bytes,
--- a/crates/cicadalock-node/tests/event_splitter.rs
+++ b/crates/cicadalock-node/tests/event_splitter.rs
@@ -64,7 +64,7 @@
         if let Some(events) = splitter.feed(rest) {
             passed.extend_from_slice(&events);
         }
-        passed.extend_from_slice(&splitter.take_partial());
+        passed.extend_from_slice(splitter.partial());
         prop_assert_eq!(passed, text.as_bytes());
     }
 }
