--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -8,9 +8,10 @@
 use crate::id::{CustomerId, LinkId, RequestId};
 use crate::message::{
     DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
-    DeskTotals,
+    DeskTotals, EvidenceFrame,
 };
 use crate::place::PrefillRate;
+use crate::quarantine::EvidenceBoard;
 use crate::time::ClockTime;
 
 /// Interval at which overdue requests are refused and silent routers are disconnected.
@@ -47,9 +48,12 @@
 pub struct DeskMachine {
     desk: EndpointDesk,
     meter: CustomerMeter,
+    /// What routers reported of crashes, passed on to all of them.
+    board: EvidenceBoard,
     routers: SortedMap<LinkId, RouterState>,
     actions: Vec<DeskAction>,
     last_sweep: ClockTime,
+    invalid_evidence: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -72,9 +76,11 @@
         Self {
             desk: EndpointDesk::new(GateLimits::engine(1, 0)),
             meter: CustomerMeter::default(),
+            board: EvidenceBoard::default(),
             routers: SortedMap::new(),
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
+            invalid_evidence: 0,
         }
     }
 
@@ -106,6 +112,7 @@
                 self.forget_request(link);
             }
             DeskMessage::Totals(totals) => self.handle_totals(link, &totals, now),
+            DeskMessage::Evidence(frame) => self.pass_on_evidence(link, frame, now),
             _ => {}
         }
     }
@@ -139,6 +146,7 @@
                 self.refuse(refusal);
             }
             self.close_silent_links(now);
+            self.board.expire(now);
         }
         for (link, request) in self.desk.admit(&mut self.meter, now) {
             let request = request.get();
@@ -149,6 +157,12 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the number of entries of evidence so far that were not valid.
+    #[must_use]
+    pub const fn invalid_evidence(&self) -> usize {
+        self.invalid_evidence
+    }
+
     /// Returns the admission controller of the endpoint.
     #[must_use]
     pub const fn desk(&self) -> &EndpointDesk {
@@ -179,6 +193,10 @@
                 rate: PrefillRate::default(),
             },
         );
+        for frame in self.board.to_frames(now) {
+            self.actions
+                .push(DeskAction::Send(link, DeskMessage::Evidence(frame)));
+        }
     }
 
     fn handle_ask(&mut self, link: LinkId, frame: &DeskAskFrame, now: ClockTime) {
@@ -211,6 +229,19 @@
         }
     }
 
+    /// Sends what is new in a router's evidence to all other routers.
+    fn pass_on_evidence(&mut self, link: LinkId, frame: EvidenceFrame, now: ClockTime) {
+        let (news, invalid) = self.board.merge(frame, now);
+        self.invalid_evidence += invalid;
+        if news.is_empty() {
+            return;
+        }
+        for other in self.routers.keys().filter(|other| **other != link) {
+            let message = DeskMessage::Evidence(news.clone());
+            self.actions.push(DeskAction::Send(*other, message));
+        }
+    }
+
     fn refuse(&mut self, refusal: DeskRefusal) {
         let (link, request) = refusal.key;
         self.forget_request(link);
--- a/crates/cicadalock-core/src/gateway/action.rs
+++ b/crates/cicadalock-core/src/gateway/action.rs
@@ -4,6 +4,7 @@
 
 use crate::id::{EndpointId, RequestId};
 use crate::message::DeskMessage;
+use crate::quarantine::GuardChange;
 
 /// An operation that the caller of a [`GatewayMachine`](super::GatewayMachine) has to perform.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +29,17 @@
         /// Message to send.
         message: DeskMessage,
     },
+    /// Check whether an endpoint that broke requests accepts connections.
+    CheckEndpoint {
+        /// Endpoint to check.
+        endpoint: EndpointId,
+        /// Address on which the endpoint listens.
+        address: SocketAddr,
+    },
+    /// Report that a part of prompts is refused from now on, or no longer.
+    ReportPart(GuardChange),
+    /// Report that this number of entries of evidence from other routers are not valid.
+    ReportInvalid(usize),
     /// Close the connection to a desk that stopped answering.
     CloseDesk(EndpointId),
     /// Tell a caller that its request is refused. It did not start since it was last queued, but an
@@ -49,6 +61,8 @@
     NoEndpoint,
     /// No endpoint can start the request before its latest useful start.
     NoRoomInTime,
+    /// A part of the prompt crashes endpoints.
+    CrashingPart,
 }
 
 /// Why a failed request is not retried.
@@ -71,8 +85,15 @@
         match self {
             Self::NoEndpoint => "no-endpoint",
             Self::NoRoomInTime => "no-room-in-time",
+            Self::CrashingPart => "crashing-part",
         }
     }
+
+    /// Returns whether the same request would be refused again.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::CrashingPart)
+    }
 }
 
 impl RetryDenial {
--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -25,6 +25,8 @@
     pub may_retry: bool,
     /// Largest number of endpoints to which the request may be sent.
     pub max_attempts: u32,
+    /// Whether the request tries a part of prompts that is refused otherwise.
+    pub is_trial: bool,
     /// Endpoints of earlier attempts, including those that were not reached.
     pub tried: Vec<EndpointId>,
 }
@@ -40,6 +42,9 @@
 pub enum AttemptEnd {
     /// The answer arrived completely.
     Complete,
+    /// The answer ended with its connection and looks whole, as it also would if the endpoint had
+    /// crashed.
+    CompleteUnframed,
     /// The caller disconnected or its deadline passed.
     Abandoned,
     /// The endpoint was not reached; the request did not run.
@@ -77,6 +82,7 @@
                 deadline: ClockTime::MAX,
                 may_retry: false,
                 max_attempts: 1,
+                is_trial: false,
                 tried: Vec::new(),
             },
         }
@@ -146,6 +152,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Complete => "complete",
+            Self::CompleteUnframed => "complete-unframed",
             Self::Abandoned => "abandoned",
             Self::NotReached => "not-reached",
             Self::EndpointLeft => "endpoint-left",
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -9,6 +9,7 @@
 use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
 use crate::message::{DeskMessage, DeskNotice};
 use crate::place::PrefixMemory;
+use crate::quarantine::PartGuard;
 use crate::retry::RetryWindow;
 use crate::serving::{EndpointList, ListingState, ServingConfig};
 use crate::time::ClockTime;
@@ -70,6 +71,10 @@
     pub(super) sums_requested: usize,
     /// When this router was last found to run late.
     pub(super) lagged_at: ClockTime,
+    /// Keeps requests from endpoints that would crash on a part of their prompt.
+    pub(super) guard: PartGuard,
+    /// Number of desks to which evidence was sent so far.
+    pub(super) evidence_sent: usize,
 }
 
 /// Retry budget and prefill statistics of one service.
@@ -97,8 +102,20 @@
     Waiting,
     /// Queued at the endpoint's own desk, which was asked for admission.
     Asked,
-    /// Sent to the endpoint; `is_read` once the prefill is done and the first event has arrived.
-    Running { is_read: bool },
+    /// Sent to the endpoint at `started`. The first event arrives once the prefill is done.
+    ///
+    /// `begun` is when that was.
+    Running {
+        started: ClockTime,
+        begun: Option<ClockTime>,
+    },
+}
+
+impl GatewayPhase {
+    /// Returns whether the request is running and its prompt is prefilled.
+    pub(super) const fn is_read(self) -> bool {
+        matches!(self, Self::Running { begun: Some(_), .. })
+    }
 }
 
 /// Decay factor per prompt of the work that the fraction of long prompts is computed from.
@@ -147,6 +164,8 @@
             last_exchange: ClockTime::default(),
             sums_requested: 0,
             lagged_at: ClockTime::default(),
+            guard: PartGuard::default(),
+            evidence_sent: 0,
         }
     }
 
@@ -236,8 +255,15 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        request.phase = GatewayPhase::Running { is_read: true };
+        let GatewayPhase::Running { started, .. } = request.phase else {
+            return;
+        };
+        request.phase = GatewayPhase::Running {
+            started,
+            begun: Some(now),
+        };
         let endpoint = request.plan.endpoint.clone();
+        self.guard.record_answer(&endpoint, started, now);
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.desk.first_event(own_key(id), now);
             state.health.record_success();
@@ -263,7 +289,9 @@
             state.desk.end(own_key(id), now);
             state.own_requests = state.own_requests.saturating_sub(1);
             match end {
-                AttemptEnd::Complete => state.health.record_success(),
+                AttemptEnd::Complete | AttemptEnd::CompleteUnframed => {
+                    state.health.record_success();
+                }
                 AttemptEnd::Abandoned | AttemptEnd::EndpointLeft | AttemptEnd::Full => {}
                 AttemptEnd::NotReached => {
                     state.health.mark_suspect(now);
@@ -273,6 +301,7 @@
             }
             self.send_to_desk(&endpoint, DeskMessage::End(desk_notice(id)));
         }
+        self.record_evidence(&request, end, now);
         request.call.tried.push(endpoint);
         Some(request.call)
     }
@@ -326,6 +355,7 @@
     /// Performs the checks that are due and returns the operations to perform.
     pub fn take_actions(&mut self, now: ClockTime) -> Vec<GatewayAction> {
         self.expire_missing(now);
+        self.update_guard(now);
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
             self.record_lag(
                 now.since(self.last_sweep).saturating_sub(SWEEP_INTERVAL),
@@ -347,7 +377,11 @@
     }
 
     /// Places a request and queues it at the chosen endpoint's desk, or refuses it.
-    pub(super) fn enqueue(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
+    pub(super) fn enqueue(&mut self, id: RequestId, mut call: GatewayCall, now: ClockTime) {
+        if !self.admits_prompt(&mut call, now) {
+            self.refuse(id, RefusalReason::CrashingPart, Duration::ZERO);
+            return;
+        }
         let Some(plan) = self.plan(&call, now) else {
             self.refuse(id, RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER);
             return;
@@ -407,7 +441,10 @@
         let Some(state) = self.endpoints.get_mut(&endpoint) else {
             return;
         };
-        request.phase = GatewayPhase::Running { is_read: false };
+        request.phase = GatewayPhase::Running {
+            started: now,
+            begun: None,
+        };
         state.own_requests += 1;
         if let Some(prompt) = &request.call.prompt {
             self.memory.record(&endpoint, prompt, now);
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -37,13 +37,13 @@
     ) -> Option<DeskHello> {
         let limits = self.endpoints.get(endpoint)?.desk.gate().limits();
         let runs = self.requests.iter().filter_map(|(id, request)| {
-            let GatewayPhase::Running { is_read } = request.phase else {
+            if !matches!(request.phase, GatewayPhase::Running { .. }) {
                 return None;
-            };
+            }
             let is_there = request.plan.endpoint == *endpoint;
             is_there.then(|| DeskRun {
                 ask: Some(self.ask_frame(*id, &request.ask, now)),
-                is_read,
+                is_read: request.phase.is_read(),
             })
         });
         Some(DeskHello {
@@ -70,12 +70,16 @@
         };
         match message {
             DeskMessage::State(frame) => {
+                let is_new = state.remote.is_none();
                 let remote = state.remote.get_or_insert_default();
                 remote.last_message = now;
                 let wait = Duration::from_millis(u64::from(frame.wait_ms));
                 remote.forecast.reset(wait, now);
                 remote.rate = PrefillRate::from_tokens_per_milli(f64::from(frame.rate));
                 state.desk.set_rate(remote.rate);
+                if is_new {
+                    self.send_board(endpoint, now);
+                }
             }
             DeskMessage::Grant(notice) => {
                 let id = RequestId::new(notice.request);
@@ -96,6 +100,7 @@
                 }
             }
             DeskMessage::Sums(sums) => self.apply_sums(&sums, now),
+            DeskMessage::Evidence(frame) => self.receive_evidence(frame, now),
             _ => {}
         }
     }
@@ -118,11 +123,8 @@
             return;
         }
         self.last_exchange = now;
-        let desks = self
-            .endpoints
-            .iter()
-            .filter(|(_, state)| state.remote.is_some());
-        let desks: Vec<EndpointId> = desks.map(|(id, _)| id.clone()).collect();
+        self.send_evidence(now);
+        let desks = self.connected_desks();
         let lines = self.meter.totals(Some(OWN_LINK), now);
         let first = self.sums_requested;
         self.sums_requested = self.sums_requested.wrapping_add(SUM_DESKS);
@@ -136,6 +138,12 @@
         }
     }
 
+    pub(super) fn connected_desks(&self) -> Vec<EndpointId> {
+        let states = self.endpoints.iter();
+        let desks = states.filter(|(_, state)| state.remote.is_some());
+        desks.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Records that an endpoint's desk no longer answers; this router's local desk takes over.
     pub fn desk_down(&mut self, endpoint: &EndpointId, now: ClockTime) {
         let Some(state) = self.endpoints.get_mut(endpoint) else {
--- a/crates/cicadalock-core/src/lib.rs
+++ b/crates/cicadalock-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`place`] | endpoint selection for a request |
 //! | [`desk`] | admission control for one endpoint |
 //! | [`gateway`] | the state machine of a router that calls endpoints itself |
+//! | [`quarantine`] | parts of prompts that crash endpoints |
 //! | [`retry`] | retry budget and endpoint back-off |
 //! | [`message`] | messages between processes |
 //! | [`router`] | the state machine of a router process |
@@ -53,6 +54,7 @@
 pub mod message;
 pub mod outcome;
 pub mod place;
+pub mod quarantine;
 pub mod retry;
 pub mod revision;
 pub mod router;
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -95,7 +95,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DeskEnvelope {
     /// The message; absent if the peer sent a type that this version does not know.
-    #[prost(oneof = "DeskMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "DeskMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub message: Option<DeskMessage>,
 }
 
@@ -132,6 +132,10 @@
     /// Desk to router: cost received by customers through all routers that the desk knows.
     #[prost(message, tag = "10")]
     Sums(DeskSums),
+    /// Both directions: evidence of parts of prompts that crash endpoints. A desk passes on what it
+    /// did not know.
+    #[prost(message, tag = "11")]
+    Evidence(EvidenceFrame),
 }
 
 /// Decayed cost that customers received through the sending router.
@@ -164,6 +168,73 @@
     pub received: f32,
 }
 
+/// Evidence of parts of prompts that crash endpoints, and of parts that do not.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EvidenceFrame {
+    /// Crashes of endpoints, as routers saw them.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<CrashFrame>,
+    /// Answers that did not crash their endpoints.
+    #[prost(message, repeated, tag = "2")]
+    pub sound: Vec<SoundFrame>,
+}
+
+/// A crash of an endpoint, as one router saw it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CrashFrame {
+    /// Random number of the process that wrote the report.
+    #[prost(fixed64, tag = "1")]
+    pub reporter: u64,
+    /// Number of the report at that process.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// Name of the endpoint's service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Id of the endpoint's incarnation.
+    #[prost(string, tag = "4")]
+    pub endpoint: String,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub crashed_age_ms: u32,
+    /// Requests that may have caused it.
+    #[prost(message, repeated, tag = "6")]
+    pub requests: Vec<SuspectFrame>,
+}
+
+/// A request that may have crashed its endpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SuspectFrame {
+    /// Time since it was sent to the endpoint, in milliseconds.
+    #[prost(uint32, tag = "1")]
+    pub started_age_ms: u32,
+    /// Ids of the parts of its prompt that other requests may share.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+}
+
+/// A part on which an endpoint wrote an answer without harm.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SoundFrame {
+    /// Name of the endpoint's service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Id of the part.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+    /// Time since the answer began, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub begun_age_ms: u32,
+}
+
+impl EvidenceFrame {
+    /// Returns whether the message holds nothing.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty()
+    }
+}
+
 impl From<DeskMessage> for DeskEnvelope {
     fn from(message: DeskMessage) -> Self {
         Self {
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -24,8 +24,9 @@
     TotalLine, TotalsReport, ViewMessage,
 };
 pub use desk::{
-    CustomerTotal, DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage, DeskNotice,
-    DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals,
+    CrashFrame, CustomerTotal, DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage, DeskNotice,
+    DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals, EvidenceFrame, SoundFrame,
+    SuspectFrame,
 };
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
--- /dev/null
+++ b/crates/cicadalock-core/src/quarantine/mod.rs
@@ -0,0 +1,47 @@
+//! Finds the parts of prompts that crash endpoints, from what all routers of a fleet saw.
+//!
+//! Endpoints crash for many reasons, and a crash breaks every request that runs there. Each router
+//! reports the crashes that it saw together with its requests that might have caused them, and which
+//! parts of prompts endpoints answered without harm. Reports travel over the desks. Every router
+//! derives the same verdicts from them: a part is refused if one crash after the other began with a
+//! request that has it, and no answer on it survived since.
+//!
+//! # Example
+//!
+//! ```
+//! use cicadalock_core::id::PartId;
+//! use cicadalock_core::quarantine::{CrashReport, EvidenceBoard, PastTime, ReportId, SuspectRequest};
+//! use cicadalock_core::time::ClockTime;
+//!
+//! let now = ClockTime::from_millis(60_000);
+//! let mut board = EvidenceBoard::default();
+//! for number in 0..3 {
+//!     let crashed_at = PastTime::from_millis(50_000 + u64::from(number) * 500);
+//!     let started = PastTime::from_millis(49_900 + u64::from(number) * 500);
+//!     board.add_report(CrashReport {
+//!         id: ReportId { reporter: 1, number },
+//!         service: "model".parse()?,
+//!         endpoint: format!("i-{number}").parse()?,
+//!         crashed_at,
+//!         requests: vec![SuspectRequest { started, parts: vec![PartId::new(0xbad)] }],
+//!     });
+//! }
+//! let verdicts = board.judge(now, |_, _| None);
+//! assert!(verdicts.contains_key(&("model".parse()?, PartId::new(0xbad))));
+//! # Ok::<(), cicadalock_core::id::NameError>(())
+//! ```
+
+mod broken_attempts;
+mod crash_report;
+mod evidence_board;
+mod part_guard;
+mod part_verdict;
+mod past_time;
+mod sound_memory;
+
+pub use crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
+pub use evidence_board::EvidenceBoard;
+pub use part_guard::{GuardChange, PartGuard, SURVIVAL_TIME};
+pub use part_verdict::{PartVerdict, VerdictTable};
+pub use past_time::PastTime;
+pub use sound_memory::SoundMemory;
--- /dev/null
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -0,0 +1,340 @@
+use std::time::Duration;
+
+use super::broken_attempts::{BrokenAttempt, BrokenAttempts};
+use super::crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
+use super::evidence_board::EvidenceBoard;
+use super::part_verdict::{CRASH_LIMIT, PartVerdict, VerdictTable, count_crashes};
+use super::past_time::PastTime;
+use super::sound_memory::SoundMemory;
+use crate::id::{EndpointId, PartId, ServiceName};
+use crate::message::EvidenceFrame;
+use crate::serving::PromptShape;
+use crate::time::ClockTime;
+
+/// Time that an answer has to go on to speak for the parts of its prompt.
+///
+/// An endpoint that crashes on a part does so within milliseconds after the answer began.
+pub const SURVIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Time since the beginning of an answer within which its request may have caused a crash.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time after the last crash for which a part is refused without exception.
+const REFUSAL_TIME: Duration = Duration::from_secs(60);
+
+/// Interval at which one router then tries a request with the part.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Shortest time between two evaluations of the evidence.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of times that each report is sent, each time to other desks.
+const SEND_ROUNDS: u32 = 3;
+
+/// A part that is refused from now on, or no longer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GuardChange {
+    /// Service whose endpoints the part crashes.
+    pub service: ServiceName,
+    /// The part.
+    pub part: PartId,
+    /// The evidence; `None` if the part is no longer refused.
+    pub verdict: Option<PartVerdict>,
+}
+
+/// Keeps requests from endpoints that would crash on a part of their prompt.
+///
+/// One router's share of the evidence, with what the others reported.
+#[derive(Debug, Clone, Default)]
+pub struct PartGuard {
+    reporter: u64,
+    reports_written: u32,
+    broken: BrokenAttempts,
+    memory: SoundMemory,
+    board: EvidenceBoard,
+    verdicts: VerdictTable,
+    changes: Vec<GuardChange>,
+    /// Own evidence that has not been sent often enough.
+    outgoing: Vec<(OwnEvidence, u32)>,
+    has_news: bool,
+    judged_at: ClockTime,
+    last_trial: ClockTime,
+}
+
+#[derive(Debug, Clone)]
+enum OwnEvidence {
+    Crash(CrashReport),
+    Sound(SoundPart),
+}
+
+impl PartGuard {
+    /// Sets the random number under which this process reports.
+    pub const fn set_reporter(&mut self, reporter: u64) {
+        self.reporter = reporter;
+    }
+
+    /// Returns whether a request is to be refused because of a part of its prompt.
+    #[must_use]
+    pub fn refuses(&self, service: &ServiceName, prompt: &PromptShape) -> bool {
+        self.refusing_part(service, prompt).is_some()
+    }
+
+    /// Returns whether a request may be sent although it is refused, and records it.
+    ///
+    /// Once no endpoint has crashed on the part for a while, one router lets a request through now and
+    /// then. Its outcome renews or ends the belief.
+    pub fn begin_trial(
+        &mut self,
+        service: &ServiceName,
+        prompt: &PromptShape,
+        now: ClockTime,
+    ) -> bool {
+        let Some(verdict) = self.refusing_part(service, prompt) else {
+            return false;
+        };
+        // The router that saw the last crash.
+        let is_trial = verdict.span.1.age(now) >= REFUSAL_TIME
+            && verdict.last_report.reporter == self.reporter
+            && now.since(self.last_trial) >= TRIAL_INTERVAL;
+        if is_trial {
+            self.last_trial = now;
+        }
+        is_trial
+    }
+
+    fn refusing_part(&self, service: &ServiceName, prompt: &PromptShape) -> Option<&PartVerdict> {
+        if self.verdicts.is_empty() {
+            return None;
+        }
+        let has = |part: &PartId| prompt.shared().iter().any(|shared| shared.id == *part);
+        let verdicts = prompt.shared().iter().filter_map(|part| {
+            let verdict = self.verdicts.get(&(service.clone(), part.id))?;
+            verdict.companions.iter().all(has).then_some(verdict)
+        });
+        verdicts.max_by_key(|verdict| verdict.span.1)
+    }
+
+    /// Returns the parts that are refused now.
+    #[must_use]
+    pub const fn verdicts(&self) -> &VerdictTable {
+        &self.verdicts
+    }
+
+    /// Returns the parts that this router's requests were recently answered on.
+    #[must_use]
+    pub const fn memory(&self) -> &SoundMemory {
+        &self.memory
+    }
+
+    /// Returns the evidence of all routers.
+    #[must_use]
+    pub const fn board(&self) -> &EvidenceBoard {
+        &self.board
+    }
+
+    /// Returns the changes of belief since the last call.
+    pub fn take_changes(&mut self) -> Vec<GuardChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Records that an answer that began at `begun` did not crash its endpoint.
+    pub fn record_sound(
+        &mut self,
+        service: &ServiceName,
+        prompt: &PromptShape,
+        begun: ClockTime,
+        now: ClockTime,
+    ) {
+        for part in prompt.shared() {
+            self.memory.record(service, part.id, begun.into(), now);
+        }
+    }
+
+    /// Records that an answer began at `endpoint` for a request that was sent at `started`: answers
+    /// that ended there before did not crash it.
+    pub fn record_answer(&mut self, endpoint: &EndpointId, started: ClockTime, now: ClockTime) {
+        if self.broken.has_any(endpoint) {
+            let survived = self.broken.take_survived(endpoint, started.into());
+            self.remember_survivors(survived, now);
+        }
+    }
+
+    /// Records an attempt that ended as a crash ends it, and returns whether its endpoint is to be
+    /// checked.
+    ///
+    /// `begun` is when its answer began. `is_whole` tells that the answer looks whole, but would also
+    /// if its endpoint had crashed.
+    pub fn record_break(
+        &mut self,
+        endpoint: &EndpointId,
+        service: &ServiceName,
+        prompt: &PromptShape,
+        times: (ClockTime, Option<ClockTime>),
+        is_whole: bool,
+        now: ClockTime,
+    ) -> bool {
+        let (started, begun) = times;
+        let is_old = begun.is_some_and(|begun| now.since(begun) > SUSPECT_TIME);
+        if is_old || prompt.shared().is_empty() {
+            return false;
+        }
+        let parts = prompt.shared().iter().map(|part| part.id);
+        let attempt = BrokenAttempt {
+            service: service.clone(),
+            request: SuspectRequest {
+                started: started.into(),
+                parts: parts.collect(),
+            },
+            ended: now.into(),
+            begun: begun.filter(|_| is_whole).map(PastTime::from),
+        };
+        if self.broken.has_crashed(endpoint) {
+            self.report(endpoint, vec![attempt]);
+            return false;
+        }
+        self.broken.push(endpoint, attempt);
+        !is_whole && self.broken.begin_check(endpoint, now)
+    }
+
+    /// Returns whether an endpoint that was not reached is to be checked.
+    pub fn record_unreached(&mut self, endpoint: &EndpointId, now: ClockTime) -> bool {
+        self.broken.has_any(endpoint) && self.broken.begin_check(endpoint, now)
+    }
+
+    /// Records that an endpoint does not answer: it crashed on one of the attempts that it broke.
+    pub fn record_crash(&mut self, endpoint: &EndpointId, now: ClockTime) {
+        let attempts = self.broken.take_crashed(endpoint, now);
+        self.report(endpoint, attempts);
+    }
+
+    /// Records that an endpoint answers, so that the attempts that it broke have another cause.
+    pub fn record_alive(&mut self, endpoint: &EndpointId, now: ClockTime) {
+        let survived = self.broken.take_answered(endpoint);
+        self.remember_survivors(survived, now);
+    }
+
+    /// Adds what another router reported; returns the number of entries that are not valid.
+    pub fn receive(&mut self, frame: EvidenceFrame, now: ClockTime) -> usize {
+        let (news, invalid) = self.board.merge(frame, now);
+        self.has_news |= !news.is_empty();
+        invalid
+    }
+
+    /// Returns own evidence to send to some desks, or `None` if there is none.
+    ///
+    /// Each piece is returned a few times, as a desk may be frozen or cut off.
+    pub fn take_outgoing(&mut self, now: ClockTime) -> Option<EvidenceFrame> {
+        let mut frame = EvidenceFrame::default();
+        for (evidence, rounds) in &mut self.outgoing {
+            *rounds += 1;
+            match evidence {
+                OwnEvidence::Crash(report) => frame.crashes.push(report.to_frame(now)),
+                OwnEvidence::Sound(sound) => frame.sound.push(sound.to_frame(now)),
+            }
+        }
+        self.outgoing.retain(|(_, rounds)| *rounds < SEND_ROUNDS);
+        (!frame.is_empty()).then_some(frame)
+    }
+
+    /// Returns whether own evidence has not been sent at all.
+    #[must_use]
+    pub fn has_unsent(&self) -> bool {
+        self.outgoing.iter().any(|(_, rounds)| *rounds == 0)
+    }
+
+    /// Evaluates the evidence if that is due.
+    pub fn update(&mut self, now: ClockTime) {
+        if now.since(self.judged_at) < JUDGE_INTERVAL {
+            return;
+        }
+        let had_evidence = !self.board.is_empty();
+        self.judged_at = now;
+        self.broken.expire(now);
+        self.board.expire(now);
+        if !had_evidence && !self.has_news {
+            return;
+        }
+        self.has_news = false;
+        self.share_sound_parts();
+        let memory = &self.memory;
+        let verdicts = self
+            .board
+            .judge(now, |service, part| memory.last(service, part));
+        for (key, verdict) in verdicts.iter() {
+            if !self.verdicts.contains_key(key) {
+                self.changes.push(guard_change(key, Some(verdict.clone())));
+            }
+        }
+        for key in self.verdicts.keys() {
+            if !verdicts.contains_key(key) {
+                self.changes.push(guard_change(key, None));
+            }
+        }
+        self.verdicts = verdicts;
+    }
+
+    /// Tells the other routers of sound answers on parts that are close to being refused.
+    fn share_sound_parts(&mut self) {
+        let board = &self.board;
+        let known = |service: &ServiceName, part| board.last_sound(service, part);
+        let mut shared: Vec<SoundPart> = Vec::new();
+        for ((service, part), crashes, first) in count_crashes(board.reports(), known) {
+            let own = self.memory.last(&service, part);
+            if let Some(begun) = own.filter(|own| *own >= first)
+                && crashes + 1 >= CRASH_LIMIT
+            {
+                shared.push(SoundPart {
+                    service,
+                    part,
+                    begun,
+                });
+            }
+        }
+        for sound in shared {
+            if self.board.add_sound(sound.clone()) {
+                self.outgoing.push((OwnEvidence::Sound(sound), 0));
+            }
+        }
+    }
+
+    fn remember_survivors(&mut self, survived: Vec<BrokenAttempt>, now: ClockTime) {
+        for attempt in survived {
+            for part in attempt.parts() {
+                if let Some(begun) = attempt.begun {
+                    self.memory.record(&attempt.service, part, begun, now);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, endpoint: &EndpointId, attempts: Vec<BrokenAttempt>) {
+        let Some(first) = attempts.first() else {
+            return;
+        };
+        let id = ReportId {
+            reporter: self.reporter,
+            number: self.reports_written,
+        };
+        self.reports_written += 1;
+        let (service, crashed_at) = (first.service.clone(), first.ended);
+        let requests = attempts.into_iter().map(|attempt| attempt.request);
+        let report = CrashReport::new(
+            id,
+            service,
+            endpoint.clone(),
+            crashed_at,
+            requests.collect(),
+        );
+        self.board.add_report(report.clone());
+        self.outgoing.push((OwnEvidence::Crash(report), 0));
+        self.has_news = true;
+    }
+}
+
+fn guard_change(key: &(ServiceName, PartId), verdict: Option<PartVerdict>) -> GuardChange {
+    GuardChange {
+        service: key.0.clone(),
+        part: key.1,
+        verdict,
+    }
+}
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -700,7 +700,7 @@
         6 => (any::<bool>(), 0_u64..6, 0_u32..50_000)
             .prop_map(|(may_retry, subject, own)| Step::Submit { may_retry, subject, own }),
         2 => (0_usize..16).prop_map(Step::First),
-        4 => (0_usize..16, 0_u8..7).prop_map(|(index, end)| Step::End(index, end)),
+        4 => (0_usize..16, 0_u8..8).prop_map(|(index, end)| Step::End(index, end)),
         2 => (0_usize..16).prop_map(Step::Leave),
         1 => [listed_as(), listed_as(), listed_as(), listed_as()].prop_map(Step::List),
         1 => (0_usize..4).prop_map(Step::DeskUp),
@@ -730,16 +730,17 @@
     /// nor over. No request starts at an endpoint that is leaving or gone.
     #[test]
     fn a_gateway_keeps_its_guarantees_over_any_history(steps in steps()) {
-        const ENDS: [AttemptEnd; 7] = [
+        const ENDS: [AttemptEnd; 8] = [
             AttemptEnd::Complete, AttemptEnd::NotReached, AttemptEnd::EndpointLeft, AttemptEnd::Full,
             AttemptEnd::Misdirected, AttemptEnd::Failed, AttemptEnd::Broken,
+            AttemptEnd::CompleteUnframed,
         ];
         let mut machine = machine(4, 3, Some(200_000));
         let mut listed = list(4, 3);
         let mut now = at(0);
         let mut histories: SortedMap<RequestId, RequestHistory> = SortedMap::new();
         let mut asked: Vec<(EndpointId, u64)> = Vec::new();
-        let mut number = 0;
+        let (mut number, mut checks) = (0, 0);
         for step in steps {
             let running = |index: usize, histories: &SortedMap<RequestId, RequestHistory>| {
                 histories
@@ -774,7 +775,9 @@
                             last.1 = !end.is_not_run();
                         }
                         let call = machine.end(id, end, now).expect("the request is running");
-                        let is_retried = end != AttemptEnd::Complete
+                        let is_complete = end == AttemptEnd::Complete
+                            || end == AttemptEnd::CompleteUnframed;
+                        let is_retried = !is_complete
                             && machine.retry(id, call, end, now).is_ok();
                         entry.is_over = !is_retried;
                     }
@@ -847,7 +850,14 @@
                     GatewayAction::SendToDesk { endpoint, message: DeskMessage::Ask(frame) } => {
                         asked.push((endpoint, frame.request));
                     }
-                    GatewayAction::SendToDesk { .. } | GatewayAction::CloseDesk(_) => {}
+                    GatewayAction::CheckEndpoint { endpoint, .. } => {
+                        checks += 1;
+                        machine.record_check(&endpoint, checks % 2 == 0, now);
+                    }
+                    GatewayAction::SendToDesk { .. }
+                    | GatewayAction::CloseDesk(_)
+                    | GatewayAction::ReportPart(_)
+                    | GatewayAction::ReportInvalid(_) => {}
                 }
             }
         }
--- /dev/null
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -0,0 +1,378 @@
+//! Tests of what routers conclude from crashes of endpoints about the parts of prompts.
+
+mod support;
+
+use cicadalock_core::id::{EndpointId, PartId, ServiceName};
+use cicadalock_core::message::EvidenceFrame;
+use cicadalock_core::quarantine::{
+    CrashReport, EvidenceBoard, PartGuard, PastTime, ReportId, SoundPart, SuspectRequest,
+    VerdictTable,
+};
+use cicadalock_core::serving::PromptShape;
+use cicadalock_core::time::ClockTime;
+use proptest::prelude::*;
+use support::seeded;
+use yare::parameterized;
+
+/// Parts of the tests' prompts: one that begins every prompt, a bad one, and others.
+const COMMON: u64 = 1;
+const BAD: u64 = 0xbad;
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(1_000_000 + millis)
+}
+
+fn past(millis: u64) -> PastTime {
+    at(millis).into()
+}
+
+fn service() -> ServiceName {
+    "model".parse().expect("valid name")
+}
+
+fn endpoint(number: u32) -> EndpointId {
+    format!("i-{number}").parse().expect("valid name")
+}
+
+/// A prompt with the given shared parts and an own one.
+fn prompt(shared: &[u64]) -> PromptShape {
+    let list: String = shared.iter().map(|part| format!("{part:x}:100,")).collect();
+    PromptShape {
+        input: 1_000,
+        parts: PromptShape::parse_parts(&format!("{list}ffff:10")).expect("valid parts"),
+        ..PromptShape::default()
+    }
+}
+
+/// A crash of an endpoint of its own, with the start and the shared parts of each request there.
+fn crash(number: u32, crashed: u64, requests: &[(u64, &[u64])]) -> CrashReport {
+    let requests = requests.iter().map(|(started, parts)| SuspectRequest {
+        started: past(*started),
+        parts: parts.iter().copied().map(PartId::new).collect(),
+    });
+    CrashReport {
+        id: ReportId {
+            reporter: u64::from(number % 3),
+            number,
+        },
+        service: service(),
+        endpoint: endpoint(number),
+        crashed_at: past(crashed),
+        requests: requests.collect(),
+    }
+}
+
+fn sound(part: u64, begun: u64) -> SoundPart {
+    SoundPart {
+        service: service(),
+        part: PartId::new(part),
+        begun: past(begun),
+    }
+}
+
+fn refused(verdicts: &VerdictTable) -> Vec<u64> {
+    verdicts.keys().map(|(_, part)| part.get()).collect()
+}
+
+fn judge(board: &EvidenceBoard, millis: u64) -> VerdictTable {
+    board.judge(at(millis), |_, _| None)
+}
+
+/// A board with `count` crashes, each 500 ms after the one before and begun by a request with `parts`.
+fn board_in_turn(count: u32, parts: &[u64]) -> EvidenceBoard {
+    let mut board = EvidenceBoard::default();
+    for number in 0..count {
+        let crashed = u64::from(number) * 500;
+        board.add_report(crash(number, crashed + 100, &[(crashed, parts)]));
+    }
+    board
+}
+
+/// A guard that has received a board.
+fn guard_with(board: &EvidenceBoard, millis: u64) -> PartGuard {
+    let mut guard = PartGuard::default();
+    guard.set_reporter(2);
+    for frame in board.to_frames(at(millis)) {
+        assert_eq!(guard.receive(frame, at(millis)), 0);
+    }
+    guard.update(at(millis));
+    guard
+}
+
+#[parameterized(
+    first = { &[BAD, COMMON, 7] },
+    in_the_middle = { &[COMMON, BAD, 7] },
+    last_of_the_shared = { &[COMMON, 7, BAD] },
+)]
+fn a_part_is_refused_wherever_it_stands_and_its_neighbors_are_not(parts: &[u64]) {
+    let mut board = board_in_turn(3, parts);
+    board.add_sound(sound(COMMON, 1_150));
+    board.add_sound(sound(7, 1_150));
+    assert_eq!(refused(&judge(&board, 2_000)), [BAD]);
+    let guard = guard_with(&board, 2_000);
+    assert!(guard.refuses(&service(), &prompt(&[COMMON, BAD])));
+    assert!(!guard.refuses(&service(), &prompt(&[COMMON, 7])));
+    let other = "other".parse().expect("valid name");
+    assert!(!guard.refuses(&other, &prompt(&[BAD])), "another service");
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_its_own_and_never_refused() {
+    let guard = guard_with(&board_in_turn(3, &[0xffff]), 2_000);
+    assert!(!guard.refuses(&service(), &prompt(&[COMMON])));
+}
+
+#[test]
+fn two_crashes_are_not_enough() {
+    assert!(judge(&board_in_turn(2, &[BAD]), 5_000).is_empty());
+}
+
+#[test]
+fn many_endpoints_that_crash_at_once_speak_against_no_part() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..30 {
+        let moment = u64::from(number) * 5;
+        board.add_report(crash(
+            number,
+            1_000 + moment,
+            &[(600 + moment, &[COMMON, 7]), (900, &[COMMON, 8])],
+        ));
+    }
+    assert!(judge(&board, 10_000).is_empty());
+}
+
+#[test]
+fn endpoints_that_crash_one_by_one_speak_against_no_part_that_is_answered_in_between() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..20 {
+        let crashed = u64::from(number) * 1_000;
+        board.add_report(crash(number, crashed + 100, &[(crashed, &[COMMON, 7])]));
+        let is_late = number > 2;
+        assert!(!is_late || refused(&judge(&board, crashed + 200)).is_empty());
+        board.add_sound(sound(COMMON, crashed + 300));
+        board.add_sound(sound(7, crashed + 300));
+    }
+}
+
+#[test]
+fn an_answer_that_began_before_the_crashes_does_not_clear_a_part() {
+    let mut board = board_in_turn(4, &[BAD]);
+    board.add_sound(sound(BAD, 0));
+    assert_eq!(refused(&judge(&board, 3_000)), [BAD]);
+    board.add_sound(sound(BAD, 2_000));
+    assert!(judge(&board, 3_000).is_empty());
+}
+
+#[test]
+fn two_bad_parts_at_once_are_both_refused() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..8 {
+        let crashed = u64::from(number) * 400;
+        let bad = BAD + u64::from(number % 2);
+        board.add_report(crash(number, crashed + 50, &[(crashed, &[COMMON, bad])]));
+    }
+    board.add_sound(sound(COMMON, 2_900));
+    assert_eq!(refused(&judge(&board, 4_000)), [BAD, BAD + 1]);
+}
+
+#[test]
+fn a_part_that_only_was_beside_the_bad_one_in_fewer_crashes_is_not_refused() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..6 {
+        let crashed = u64::from(number) * 500;
+        let beside: &[u64] = if number < 3 { &[7] } else { &[8] };
+        let requests = [(crashed, &[BAD][..]), (crashed, beside)];
+        board.add_report(crash(number, crashed + 50, &requests));
+    }
+    assert_eq!(refused(&judge(&board, 4_000)), [BAD]);
+}
+
+#[test]
+fn of_parts_that_were_in_the_same_requests_each_time_only_all_together_are_refused() {
+    let guard = guard_with(&board_in_turn(4, &[7, BAD]), 4_000);
+    assert!(guard.refuses(&service(), &prompt(&[7, BAD])));
+    assert!(!guard.refuses(&service(), &prompt(&[7])));
+    assert!(!guard.refuses(&service(), &prompt(&[BAD])));
+}
+
+#[test]
+fn reports_of_several_routers_of_one_crash_count_once() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..6 {
+        let mut report = crash(0, 100 + number, &[(0, &[BAD])]);
+        report.id.reporter = number;
+        board.add_report(report);
+    }
+    assert!(judge(&board, 5_000).is_empty());
+}
+
+#[test]
+fn after_a_while_the_router_of_the_last_crash_tries_one_request_and_the_others_none() {
+    let board = board_in_turn(3, &[BAD]);
+    let bad = prompt(&[BAD]);
+    let mut guard = guard_with(&board, 2_000);
+    assert!(!guard.begin_trial(&service(), &bad, at(50_000)));
+    assert!(guard.begin_trial(&service(), &bad, at(62_000)));
+    assert!(!guard.begin_trial(&service(), &bad, at(62_100)));
+    let mut other = guard_with(&board, 2_000);
+    other.set_reporter(1);
+    assert!(!other.begin_trial(&service(), &bad, at(62_000)));
+}
+
+#[test]
+fn a_trial_that_is_answered_ends_the_belief_and_evidence_ends_by_itself() {
+    let board = board_in_turn(3, &[BAD]);
+    let bad = prompt(&[BAD]);
+    let mut guard = guard_with(&board, 2_000);
+    guard.record_sound(&service(), &bad, at(62_000), at(63_000));
+    guard.update(at(63_000));
+    assert!(!guard.refuses(&service(), &bad));
+    let change = guard.take_changes().pop().expect("a change");
+    assert_eq!((change.part, change.verdict), (PartId::new(BAD), None));
+    let frame = guard
+        .take_outgoing(at(63_000))
+        .expect("the others hear of it");
+    let mut other = guard_with(&board, 2_000);
+    assert!(other.refuses(&service(), &bad));
+    other.receive(frame, at(63_100));
+    other.update(at(63_200));
+    assert!(!other.refuses(&service(), &bad));
+    let mut silent = guard_with(&board, 2_000);
+    silent.update(at(200_000));
+    assert!(!silent.refuses(&service(), &bad));
+    assert!(silent.board().is_empty());
+}
+
+/// Loses a request with the bad part at an endpoint, in the way that `is_whole` tells.
+fn lose(guard: &mut PartGuard, number: u32, started: u64, is_whole: bool) -> bool {
+    let times = (at(started), Some(at(started + 40)));
+    let (endpoint, now) = (endpoint(number), at(started + 60));
+    guard.record_break(&endpoint, &service(), &prompt(&[BAD]), times, is_whole, now)
+}
+
+#[test]
+fn a_quiet_end_is_part_of_a_crash_that_is_found_later() {
+    let mut guard = PartGuard::default();
+    for number in 0..3 {
+        let started = u64::from(number) * 600;
+        assert!(!lose(&mut guard, number, started, true), "looks whole");
+        assert!(guard.record_unreached(&endpoint(number), at(started + 200)));
+        guard.record_crash(&endpoint(number), at(started + 250));
+        guard.update(at(started + 400));
+    }
+    guard.update(at(2_500));
+    assert!(guard.refuses(&service(), &prompt(&[BAD])));
+}
+
+#[test]
+fn a_quiet_end_speaks_for_its_parts_once_the_endpoint_answers_again() {
+    let mut guard = guard_with(&board_in_turn(3, &[BAD]), 1_900);
+    assert!(guard.refuses(&service(), &prompt(&[BAD])));
+    lose(&mut guard, 9, 2_000, true);
+    guard.record_answer(&endpoint(9), at(2_100), at(2_200));
+    guard.update(at(2_300));
+    assert!(!guard.refuses(&service(), &prompt(&[BAD])));
+}
+
+#[test]
+fn requests_broken_by_an_endpoint_that_still_answers_speak_against_no_part() {
+    let mut guard = PartGuard::default();
+    for number in 0..6 {
+        let started = u64::from(number) * 600;
+        assert!(lose(&mut guard, number, started, false), "a check is due");
+        guard.record_alive(&endpoint(number), at(started + 100));
+        guard.update(at(started + 200));
+    }
+    guard.update(at(9_000));
+    assert!(!guard.refuses(&service(), &prompt(&[BAD])));
+    assert!(guard.board().is_empty());
+}
+
+#[test]
+fn an_answer_that_had_gone_on_for_long_did_not_cause_the_crash() {
+    let mut guard = PartGuard::default();
+    let times = (at(0), Some(at(100)));
+    let must_check = guard.record_break(
+        &endpoint(1),
+        &service(),
+        &prompt(&[7]),
+        times,
+        false,
+        at(1_500),
+    );
+    assert!(!must_check);
+    guard.record_crash(&endpoint(1), at(1_600));
+    assert!(guard.board().is_empty());
+}
+
+#[test]
+fn evidence_older_than_the_receiving_host_keeps_its_order() {
+    let board = board_in_turn(4, &[BAD]);
+    let mut young = EvidenceBoard::default();
+    for frame in board.to_frames(at(4_000)) {
+        young.merge(frame, ClockTime::from_millis(5));
+    }
+    young.merge(
+        EvidenceFrame {
+            sound: vec![sound(BAD, 300).to_frame(at(4_000))],
+            ..EvidenceFrame::default()
+        },
+        ClockTime::from_millis(5),
+    );
+    let verdicts = young.judge(ClockTime::from_millis(5), |_, _| None);
+    assert_eq!(refused(&verdicts), [BAD]);
+}
+
+#[test]
+fn many_parts_that_are_seen_once_take_bounded_memory() {
+    let mut guard = PartGuard::default();
+    for part in 0..100_000 {
+        let now = at(part);
+        guard.record_sound(&service(), &prompt(&[COMMON, 0x1_0000 + part]), now, now);
+        let board = guard.board();
+        assert!(board.report_count() <= 512);
+    }
+    assert!(guard.memory().len() <= 4_096);
+}
+
+proptest! {
+    #![proptest_config(seeded(200))]
+
+    /// Every router reaches the same verdicts from the same evidence, in whatever order it arrives
+    /// and however often.
+    #[test]
+    fn the_order_of_evidence_does_not_matter(
+        crashes in proptest::collection::vec((0_u64..4_000, 0_u64..800, 0_u64..4, 0_u64..4), 0..20),
+        sounds in proptest::collection::vec((0_u64..4, 0_u64..4_000), 0..6),
+        order in proptest::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        let reports: Vec<CrashReport> = crashes
+            .iter()
+            .enumerate()
+            .map(|(number, (crashed, took, first, second))| {
+                let parts = [*first, *second];
+                crash(number as u32, crashed + 1_000, &[(crashed + 1_000 - took, &parts)])
+            })
+            .collect();
+        let mut straight = EvidenceBoard::default();
+        for report in &reports {
+            straight.add_report(report.clone());
+        }
+        let mut shuffled = EvidenceBoard::default();
+        for index in order {
+            if !reports.is_empty() {
+                shuffled.add_report(reports[index.index(reports.len())].clone());
+            }
+        }
+        for report in reports.iter().rev() {
+            shuffled.add_report(report.clone());
+        }
+        for (part, begun) in &sounds {
+            straight.add_sound(sound(*part, *begun));
+        }
+        for (part, begun) in sounds.iter().rev() {
+            shuffled.add_sound(sound(*part, *begun));
+        }
+        prop_assert_eq!(judge(&straight, 9_000), judge(&shuffled, 9_000));
+    }
+}
--- a/crates/cicadalock-node/src/desk/desk_daemon.rs
+++ b/crates/cicadalock-node/src/desk/desk_daemon.rs
@@ -209,7 +209,16 @@
             );
         }
         let now = self.now();
-        self.machine.borrow_mut().receive(link, message, now);
+        let invalid = {
+            let mut machine = self.machine.borrow_mut();
+            let before = machine.invalid_evidence();
+            machine.receive(link, message, now);
+            machine.invalid_evidence() - before
+        };
+        if invalid > 0 {
+            self.log
+                .write("evidence-invalid", json!({"entries": invalid}));
+        }
         self.drive();
     }
 
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -4,10 +4,11 @@
 use bytes::Bytes;
 use cicadalock_core::gateway::AttemptEnd;
 use cicadalock_core::id::{CustomerName, EndpointId, PartId};
+use cicadalock_core::quarantine::SURVIVAL_TIME;
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HeaderName;
+use hyper::header::{CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 use serde_json::json;
 
@@ -54,6 +55,8 @@
     pub(super) started_at: ClockTime,
     /// Time of the first event that was received; `None` before it.
     pub(super) begun_at: Option<ClockTime>,
+    /// Whether the answer has gone on long enough to speak for the parts of the prompt.
+    pub(super) has_survived: bool,
 }
 
 /// An endpoint's answer whose head was received and whose body is still to be read.
@@ -78,12 +81,17 @@
             endpoint: assignment.endpoint.clone(),
             started_at: assignment.started_at,
             begun_at: None,
+            has_survived: false,
         }
     }
 
-    /// Records that an event was received.
-    pub(super) fn record_event(&mut self, now: ClockTime) {
-        self.begun_at.get_or_insert(now);
+    /// Records that an event was received; returns whether the answer has gone on long enough to
+    /// speak for the parts of the prompt, once.
+    pub(super) fn record_event(&mut self, now: ClockTime) -> bool {
+        let begun = *self.begun_at.get_or_insert(now);
+        let is_new = !self.has_survived && now.since(begun) >= SURVIVAL_TIME;
+        self.has_survived |= is_new;
+        is_new
     }
 }
 
@@ -206,7 +214,7 @@
     })
 }
 
-/// Fails if the endpoint stopped taking requests since the request was assigned to it.
+/// Fails if the request is no longer to be sent to the endpoint that it was assigned to.
 ///
 /// Opening a connection takes time, and a busy process starts its tasks late.
 fn ensure_usable(
@@ -214,10 +222,13 @@
     assignment: &EndpointAssignment,
 ) -> Result<(), AttemptFailure> {
     let machine = shared.machine.borrow();
-    if machine.is_usable(&assignment.endpoint, shared.now()) {
+    let detail = if machine.is_refused(assignment.request) {
+        "a part of the prompt was found to crash endpoints before this request was sent"
+    } else if !machine.is_usable(&assignment.endpoint, shared.now()) {
+        "the endpoint stopped taking requests before this one was sent"
+    } else {
         return Ok(());
-    }
-    let detail = "the endpoint stopped taking requests before this one was sent";
+    };
     Err(AttemptFailure::new(AttemptEnd::EndpointLeft, detail))
 }
 
@@ -276,6 +287,17 @@
     message
 }
 
+/// Returns how an attempt ended whose answer was read to its end.
+///
+/// An answer with neither a length nor chunks ends with its connection, also if the endpoint crashed.
+pub(super) fn complete_end(headers: &HeaderMap) -> AttemptEnd {
+    if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        AttemptEnd::Complete
+    } else {
+        AttemptEnd::CompleteUnframed
+    }
+}
+
 /// Removes the hop-by-hop header fields, including those that the `Connection` field names.
 pub(super) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -22,6 +22,8 @@
     pub(super) reads: Family<EndLabels, Counter>,
     /// Changes of endpoints' entries, by the new state.
     pub(super) endpoint_changes: Family<StateLabels, Counter>,
+    /// Parts of prompts that are refused now, with the number of crashes.
+    pub(super) refused_parts: Family<PartLabels, Gauge>,
     /// Requests that are waiting or running in the gateway.
     pub(super) held: Gauge,
     /// Log lines that were dropped instead of written.
@@ -49,6 +51,13 @@
     pub(super) end: String,
 }
 
+/// Labels of a part of prompts that crashes endpoints.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct PartLabels {
+    pub(super) service: String,
+    pub(super) part: String,
+}
+
 /// Label for the new state of an endpoint's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct StateLabels {
@@ -67,6 +76,7 @@
             connects: Counter::default(),
             reads: Family::default(),
             endpoint_changes: Family::default(),
+            refused_parts: Family::default(),
             held: Gauge::default(),
             dropped_lines: Gauge::default(),
             lag: latency(),
@@ -97,6 +107,11 @@
             "Changes of endpoints' entries",
             metrics.endpoint_changes.clone(),
         );
+        registry.register(
+            "refused_part_crashes",
+            "Crashes by parts of prompts that are refused",
+            metrics.refused_parts.clone(),
+        );
         registry.register("held", "Requests in the gateway", metrics.held.clone());
         registry.register(
             "dropped_lines",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod answer_buffer;
 mod attempt;
 mod connection_pool;
+mod crash_check;
 mod daemon;
 mod desk_links;
 mod dialect;
--- a/crates/cicadalock-node/src/gateway/request_guard.rs
+++ b/crates/cicadalock-node/src/gateway/request_guard.rs
@@ -77,6 +77,13 @@
         self.shared.drive();
     }
 
+    /// Records that the answer went on for long enough to speak for the parts of the prompt.
+    pub(super) fn record_survival(&self) {
+        let now = self.shared.now();
+        let mut machine = self.shared.machine.borrow_mut();
+        machine.record_progress(self.id, now);
+    }
+
     /// Records the end of the attempt and returns its call; `None` if no attempt is running.
     pub(super) fn finish_attempt(&mut self, end: AttemptEnd) -> Option<GatewayCall> {
         let phase = std::mem::replace(&mut self.phase, GuardPhase::Finished);
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{
-    AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt,
+    AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt, complete_end,
     remove_hop_by_hop_headers,
 };
 use super::dialect::{GatewayDialect, RequestFields};
@@ -44,6 +44,8 @@
     status: hyper::StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// How the attempt ended.
+    end: AttemptEnd,
 }
 
 /// Result of one attempt at an endpoint.
@@ -226,7 +228,13 @@
                 Ok(Some(StartVerdict::Refuse {
                     reason,
                     retry_after,
-                })) => return self.refuse(self.refusal_before_start(reason.name(), retry_after)),
+                })) => {
+                    let mut refusal = self.refusal_before_start(reason.name(), retry_after);
+                    if reason.is_final() {
+                        refusal.retry_after = None;
+                    }
+                    return self.refuse(refusal);
+                }
                 Ok(None) => {
                     return self.refuse(self.refusal_before_start("stopping", DEFAULT_RETRY_AFTER));
                 }
@@ -317,7 +325,7 @@
             }
             Ok(Ok(answer)) => {
                 guard.record_first_event();
-                guard.finish_attempt(AttemptEnd::Complete);
+                guard.finish_attempt(answer.end);
                 AttemptOutcome::Answered(self.send_buffered(answer, assignment))
             }
             Ok(Err(detail)) => {
@@ -488,6 +496,7 @@
         .put(&endpoint, connection, &parts.headers, shared.now());
     Ok(BufferedAnswer {
         status: parts.status,
+        end: complete_end(&parts.headers),
         headers: caller_headers(&parts.headers),
         body,
     })
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -44,6 +44,7 @@
 /// Endpoint that a request is to be sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct EndpointAssignment {
+    pub(super) request: RequestId,
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
     pub(super) started_at: ClockTime,
@@ -81,7 +82,8 @@
 
 impl GatewayShared {
     pub(super) fn new(settings: GatewaySettings, log: EventLog, clock: ProcessClock) -> Rc<Self> {
-        let machine = GatewayMachine::new(settings.zone.clone(), settings.bounds);
+        let mut machine = GatewayMachine::new(settings.zone.clone(), settings.bounds);
+        machine.set_reporter(rand::random());
         Rc::new(Self {
             settings: RefCell::new(settings),
             clock,
@@ -212,7 +214,7 @@
     }
 
     /// Runs the machine's pending actions, and tells [`Self::run_timer`] if it is due earlier now.
-    pub(super) fn drive(&self) {
+    pub(super) fn drive(self: &Rc<Self>) {
         loop {
             let actions = self.machine.borrow_mut().take_actions(self.now());
             if actions.is_empty() {
@@ -235,7 +237,7 @@
     }
 
     /// Runs the machine whenever one of its deadlines passes, until dropped.
-    pub(super) async fn run_timer(&self) {
+    pub(super) async fn run_timer(self: &Rc<Self>) {
         loop {
             let due = self.machine.borrow().next_wake();
             self.timer_due.set(due);
@@ -253,7 +255,11 @@
     }
 
     /// Handles a message of the desk of an endpoint; `None`, a message of unknown type, is ignored.
-    pub(super) fn receive_desk_message(&self, endpoint: &EndpointId, message: Option<DeskMessage>) {
+    pub(super) fn receive_desk_message(
+        self: &Rc<Self>,
+        endpoint: &EndpointId,
+        message: Option<DeskMessage>,
+    ) {
         if let Some(message) = message {
             let now = self.now();
             self.machine
@@ -294,7 +300,7 @@
         self.store_read.notify_waiters();
     }
 
-    fn run_action(&self, action: GatewayAction) {
+    fn run_action(self: &Rc<Self>, action: GatewayAction) {
         let (id, verdict) = match action {
             GatewayAction::SendToDesk { endpoint, message } => {
                 if !self.desks.send(&endpoint, message) {
@@ -303,6 +309,19 @@
                 }
                 return;
             }
+            GatewayAction::CheckEndpoint { endpoint, address } => {
+                self.check_endpoint(endpoint, address);
+                return;
+            }
+            GatewayAction::ReportPart(change) => {
+                self.report_part(&change);
+                return;
+            }
+            GatewayAction::ReportInvalid(count) => {
+                self.log
+                    .write("evidence-invalid", json!({"entries": count}));
+                return;
+            }
             GatewayAction::CloseDesk(endpoint) => {
                 self.log
                     .write("desk-silent", json!({"endpoint": endpoint.as_str()}));
@@ -317,6 +336,7 @@
                 expected,
             } => {
                 let assignment = EndpointAssignment {
+                    request,
                     endpoint,
                     address,
                     started_at: self.now(),
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -15,7 +15,9 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-use super::attempt::{AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt};
+use super::attempt::{
+    AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt, complete_end,
+};
 use super::connection_pool::EndpointConnection;
 use super::dialect::GatewayDialect;
 use super::event_splitter::EventSplitter;
@@ -202,7 +204,9 @@
             if !has_started {
                 self.record_first_event();
             }
-            self.progress.record_event(self.shared.now());
+            if self.progress.record_event(self.shared.now()) {
+                self.guard.record_survival();
+            }
             if caller.send(StreamChunk::Bytes(events)).await.is_err() {
                 return PartEnd::CallerLeft;
             }
@@ -288,7 +292,7 @@
     ) {
         let now = self.shared.now();
         self.shared.pool.put(endpoint, connection, headers, now);
-        self.guard.finish_attempt(AttemptEnd::Complete);
+        self.guard.finish_attempt(complete_end(headers));
         let whole = now.since(self.arrived);
         self.shared.metrics.whole.observe(whole.as_secs_f64());
         self.log_end("complete", endpoint, splitter);
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -400,7 +400,10 @@
                 retry_after,
                 ..
             } => self.refuse(request.get() as usize, retry_after),
-            GatewayAction::CloseDesk(_) => {}
+            GatewayAction::CloseDesk(_)
+            | GatewayAction::CheckEndpoint { .. }
+            | GatewayAction::ReportPart(_)
+            | GatewayAction::ReportInvalid(_) => {}
         }
     }
 
