fix(core): prompts that are read for long are found to crash endpoints after five of them

Suspected, from reading the verdict's rule: while prompts take seconds to read, several endpoints crash before the first crash is known, and these count as one crash; the third in turn may come later than the contact time after the fifth crash. Two crashes in turn are now enough if five endpoints crashed. The new test in core/tests/quarantine.rs fails without the second limit. Endpoints that crash together for another reason still count as one crash in turn.

--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -9,6 +9,10 @@
 /// Crashes one after the other, each begun by a request with the part, after which it is refused.
 pub(super) const CRASH_LIMIT: usize = 3;
 
+/// Crashed endpoints after which two crashes one after the other are enough: prompts that are read for
+/// long crash several endpoints before the first crash is known.
+const ENDPOINT_LIMIT: usize = 5;
+
 /// Shortest age of the first of these crashes. By then, answers on a sound part that is in common use
 /// have begun and survived again.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
@@ -19,6 +23,8 @@
 /// A part of prompts that crashes the endpoints of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PartVerdict {
+    /// Number of endpoints that crashed.
+    pub endpoints: usize,
     /// Number of crashes one after the other.
     pub crashes: usize,
     /// Number of processes that reported them.
@@ -52,7 +58,8 @@
     let sightings = find_sightings(reports, last_sound);
     let counts = sightings.iter().filter_map(|((service, part), list)| {
         let first = list.iter().map(|sighting| sighting.request.started).min()?;
-        Some((((*service).clone(), *part), count_in_turn(list), first))
+        let key = ((*service).clone(), *part);
+        Some((key, CrashCount::of(list).in_turn, first))
     });
     counts.collect()
 }
@@ -71,26 +78,27 @@
     let highest = highest_counts(&sightings);
     let mut table = VerdictTable::new();
     for (key, list) in sightings.iter() {
-        let own = count_in_turn(list);
-        if own < CRASH_LIMIT {
+        let own = CrashCount::of(list);
+        if !own.is_enough() {
             continue;
         }
         // A crash is put down to the part with the most crashes among those involved.
         let is_unexplained = |sighting: &&PartSighting<'_>| highest_at(&highest, sighting) <= own;
         let list: Vec<_> = list.iter().filter(is_unexplained).copied().collect();
-        let crashes = count_in_turn(&list);
+        let count = CrashCount::of(&list);
         let (Some(first), Some(last)) = (list.first(), list.last()) else {
             continue;
         };
         let span = (first.report.crashed_at, last.report.crashed_at);
-        if crashes < CRASH_LIMIT || span.0.age(now) < SETTLE_TIME {
+        if !count.is_enough() || span.0.age(now) < SETTLE_TIME {
             continue;
         }
         let mut reporters: Vec<u64> = list.iter().map(|each| each.report.id.reporter).collect();
         reporters.sort_unstable();
         reporters.dedup();
         let verdict = PartVerdict {
-            crashes,
+            endpoints: count.endpoints,
+            crashes: count.in_turn,
             reporters: reporters.len(),
             span,
             last_report: last.report.id,
@@ -146,14 +154,42 @@
     count
 }
 
-type CrashCounts<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, usize)>>;
+/// Crashes that a part may have caused, in the order of how much they say.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct CrashCount {
+    /// Crashes one after the other.
+    in_turn: usize,
+    /// Endpoints that crashed.
+    endpoints: usize,
+}
+
+impl CrashCount {
+    fn of(sightings: &[PartSighting<'_>]) -> Self {
+        let mut endpoints: Vec<&EndpointId> = sightings
+            .iter()
+            .map(|sighting| &sighting.report.endpoint)
+            .collect();
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        Self {
+            in_turn: count_in_turn(sightings),
+            endpoints: endpoints.len(),
+        }
+    }
+
+    const fn is_enough(self) -> bool {
+        self.in_turn >= CRASH_LIMIT || (self.in_turn >= 2 && self.endpoints >= ENDPOINT_LIMIT)
+    }
+}
+
+type CrashCounts<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, CrashCount)>>;
 
 /// Returns for each report of a crash the highest count among the parts in it.
 fn highest_counts<'a>(sightings: &SightingTable<'a>) -> CrashCounts<'a> {
     let mut counts = CrashCounts::new();
     for list in sightings.values() {
-        let count = count_in_turn(list);
-        if count < CRASH_LIMIT {
+        let count = CrashCount::of(list);
+        if !count.is_enough() {
             continue;
         }
         for sighting in list {
@@ -165,7 +201,7 @@
 }
 
 /// Returns the highest count among the parts in a crash, as all routers reported it.
-fn highest_at(counts: &CrashCounts<'_>, sighting: &PartSighting<'_>) -> usize {
+fn highest_at(counts: &CrashCounts<'_>, sighting: &PartSighting<'_>) -> CrashCount {
     let crashed_at = sighting.report.crashed_at;
     let crashes = counts.get(&&sighting.report.endpoint);
     let same = crashes.into_iter().flatten().filter(|(at, _)| {
--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -127,6 +127,18 @@
     assert!(judge(&board_in_turn(2, &[BAD]), 5_000).is_empty());
 }
 
+#[test]
+fn long_prompts_that_crash_many_endpoints_in_two_waves_are_enough() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..6 {
+        let wave = u64::from(number / 4) * 2_100;
+        let crashed = wave + 2_000 + u64::from(number) * 30;
+        board.add_report(crash(number, crashed, &[(wave, &[COMMON, BAD])]));
+    }
+    board.add_sound(sound(COMMON, 4_000));
+    assert_eq!(refused(&judge(&board, 4_600)), [BAD]);
+}
+
 #[test]
 fn many_endpoints_that_crash_at_once_speak_against_no_part() {
     let mut board = EvidenceBoard::default();
--- a/crates/cicadalock-node/src/gateway/crash_check.rs
+++ b/crates/cicadalock-node/src/gateway/crash_check.rs
@@ -68,6 +68,7 @@
                 "service": labels.service,
                 "part": labels.part,
                 "crashes": verdict.crashes,
+                "endpoints": verdict.endpoints,
                 "reporters": verdict.reporters,
                 "first_ms": age_millis(verdict.span.0.age(now)),
                 "last_ms": age_millis(verdict.span.1.age(now)),
