feat(gateway): limits that endpoints name are decoded and logged

Rates are a type of their own; zero and huge numbers are rates, what is negative, infinite or no number is an error with a log line.

--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -32,6 +32,7 @@
 mod desk_machine;
 mod endpoint_desk;
 mod endpoint_gate;
+mod request_rate;
 mod wait_forecast;
 mod wait_queue;
 
@@ -40,5 +41,6 @@
 pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 pub(crate) use endpoint_gate::DEFAULT_PAUSE;
 pub use endpoint_gate::{EndpointGate, GateLimits, RequestDemand};
+pub use request_rate::{RateError, RequestRate};
 pub use wait_forecast::WaitForecast;
 pub use wait_queue::WaitQueue;
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -193,6 +193,9 @@
     };
     let fields = D::decode_answer_fields(response.status().as_u16(), response.headers());
     check_answer(request, &response, &fields)?;
+    if !fields.is_misdirected {
+        shared.record_limit(assignment, &fields);
+    }
     if let Some((running, waiting)) = fields.load {
         let mut machine = shared.machine.borrow_mut();
         machine.update_load(&assignment.endpoint, running, waiting);
--- a/crates/cicadalock-node/src/gateway/dialect.rs
+++ b/crates/cicadalock-node/src/gateway/dialect.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use cicadalock_core::desk::{RateError, RequestRate};
 use cicadalock_core::id::{CustomerName, EndpointId};
 use cicadalock_core::serving::PromptShape;
 use hyper::HeaderMap;
@@ -76,7 +77,7 @@
 }
 
 /// Decoded status and header fields of an endpoint's answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFields {
     /// Identifier of the caller's attempt, as echoed by the endpoint.
     pub request: Option<String>,
@@ -88,4 +89,7 @@
     pub is_signed: bool,
     /// Numbers of running and of waiting requests at the endpoint, if it reports them.
     pub load: Option<(u32, u32)>,
+    /// Requests that the endpoint takes from all routers together, if it names a limit; an error if
+    /// what it names is not a rate.
+    pub limit: Option<Result<RequestRate, RateError>>,
 }
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod desk_links;
 mod dialect;
 mod endpoint_change;
+mod endpoint_limits;
 mod event_splitter;
 mod gateway_metrics;
 mod gateway_settings;
