fix(gateway): endpoints that name a limit get no more than that from all routers together

Cause: nobody acted on the field, and what one router knows is not enough: each alone stayed below the limit. Now a router tells the endpoint's desk, which admits the requests of all routers, so that its gate keeps to the rate with bursts of half a second; desks tell every router in their state, as long as the limit lasts. An endpoint without a desk has its limit shared out by a desk of another endpoint, chosen by rendezvous hashing, in proportion to the requests that routers receive for the service; each reports every second. While an endpoint's desk is away, routers keep an even share. A request that a desk cannot start within the limit asks up to three other endpoints before it is refused, at once. Answers without the field to requests sent after it was last named end the limit; at least one request in four seconds starts, so that an answer can tell.

--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -3,16 +3,18 @@
 use super::customer_meter::CustomerMeter;
 use super::endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 use super::endpoint_gate::GateLimits;
+use super::limit_broker::LimitBroker;
+use super::request_rate::RequestRate;
 use super::wait_forecast::WaitForecast;
 use crate::collect::SortedMap;
 use crate::id::{CustomerId, LinkId, RequestId};
 use crate::message::{
-    DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
-    DeskTotals, EvidenceFrame,
+    DemandFrame, DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame,
+    DeskStateFrame, DeskSums, DeskTotals, EvidenceFrame, LimitFrame,
 };
 use crate::place::PrefillRate;
 use crate::quarantine::EvidenceBoard;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Interval at which overdue requests are refused and silent routers are disconnected.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(10);
@@ -50,6 +52,9 @@
     meter: CustomerMeter,
     /// What routers reported of crashes, passed on to all of them.
     board: EvidenceBoard,
+    /// The limit that the endpoint named, and when it was named or found to have ended.
+    limit: (Option<RequestRate>, Option<PastTime>),
+    broker: LimitBroker,
     routers: SortedMap<LinkId, RouterState>,
     actions: Vec<DeskAction>,
     last_sweep: ClockTime,
@@ -67,6 +72,7 @@
     /// The router's own estimate of the wait.
     forecast: WaitForecast,
     rate: PrefillRate,
+    limit_sent: Option<RequestRate>,
 }
 
 impl DeskMachine {
@@ -77,6 +83,8 @@
             desk: EndpointDesk::new(GateLimits::engine(1, 0)),
             meter: CustomerMeter::default(),
             board: EvidenceBoard::default(),
+            limit: (None, None),
+            broker: LimitBroker::default(),
             routers: SortedMap::new(),
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
@@ -113,6 +121,8 @@
             }
             DeskMessage::Totals(totals) => self.handle_totals(link, &totals, now),
             DeskMessage::Evidence(frame) => self.pass_on_evidence(link, frame, now),
+            DeskMessage::Limit(frame) => self.set_limit(frame, now),
+            DeskMessage::Demand(frame) => self.share_out(link, &frame, now),
             _ => {}
         }
     }
@@ -121,6 +131,7 @@
     pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
         self.routers.remove(&link);
         self.meter.drop_link(link);
+        self.broker.drop_link(link);
         self.desk.remove_waiting(link);
         self.desk.gate_mut().drop_link(link, now);
     }
@@ -191,6 +202,7 @@
                 requests,
                 forecast: WaitForecast::default(),
                 rate: PrefillRate::default(),
+                limit_sent: None,
             },
         );
         for frame in self.board.to_frames(now) {
@@ -206,7 +218,8 @@
         if let Some(router) = self.routers.get_mut(&link) {
             router.requests += 1;
             let prefill = router.rate.time(f64::from(frame.units));
-            router.forecast.add(prefill, now);
+            let spacing = self.desk.gate().limit_spacing();
+            router.forecast.add(prefill.max(spacing), now);
         }
         let key = (link, RequestId::new(frame.request));
         if let Err(refusal) = self.desk.ask(key, desk_ask(frame, now), &self.meter, now) {
@@ -242,12 +255,33 @@
         }
     }
 
+    /// Applies a limit that the endpoint named, unless something newer is known.
+    fn set_limit(&mut self, frame: LimitFrame, now: ClockTime) {
+        let limit = frame.limit.map(RequestRate::per_second);
+        let named_at = PastTime::from_age(now, Duration::from_millis(frame.age_ms.into()));
+        if Some(named_at) < self.limit.1 {
+            return;
+        }
+        self.limit = (limit, Some(named_at));
+        self.desk.gate_mut().set_rate_limit(limit, now);
+    }
+
+    /// Shares out the limit of an endpoint without a desk.
+    fn share_out(&mut self, link: LinkId, frame: &DemandFrame, now: ClockTime) {
+        let routers: Vec<LinkId> = self.routers.keys().copied().collect();
+        for (router, share) in self.broker.report(link, frame, &routers, now) {
+            self.actions
+                .push(DeskAction::Send(router, DeskMessage::Share(share)));
+        }
+    }
+
     fn refuse(&mut self, refusal: DeskRefusal) {
         let (link, request) = refusal.key;
         self.forget_request(link);
         let frame = DeskRefusalFrame {
             request: request.get(),
             come_back_ms: refusal.retry_after.as_millis() as u32,
+            is_limited: refusal.is_limited,
         };
         self.actions
             .push(DeskAction::Send(link, DeskMessage::Refuse(frame)));
@@ -260,7 +294,9 @@
     }
 
     fn send_states(&mut self, now: ClockTime) {
-        if !self.routers.values().any(|router| router.is_check_due(now)) {
+        let limit = self.limit.0;
+        let is_due = |router: &RouterState| router.is_check_due(now) || router.limit_sent != limit;
+        if !self.routers.values().any(is_due) {
             return;
         }
         let state = self.desk.state(now);
@@ -268,18 +304,22 @@
             wait_ms: state.wait.as_millis() as u32,
             rate: state.rate.tokens_per_milli() as f32,
             running: state.running,
+            limit: limit.map(RequestRate::get),
+            routers: self.routers.len() as u32,
         };
         for (link, router) in self.routers.iter_mut() {
-            if !router.is_check_due(now) {
+            if !is_due(router) {
                 continue;
             }
             router.last_check = now;
-            let must_send = now.since(router.last_sent) >= STATE_INTERVALS.1
+            let must_send = router.limit_sent != limit
+                || now.since(router.last_sent) >= STATE_INTERVALS.1
                 || router.is_forecast_off(&state, now)
                 // A router disconnects a desk that owes it an answer and stays silent.
                 || self.desk.has_waiting(*link);
             if must_send {
                 router.last_sent = now;
+                router.limit_sent = limit;
                 router.forecast.reset(state.wait, now);
                 router.rate = state.rate;
                 self.actions
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -50,6 +50,8 @@
     pub key: RunKey,
     /// Delay after which a retry is likely to be admitted.
     pub retry_after: Duration,
+    /// Whether the rate of requests that the endpoint takes is the reason.
+    pub is_limited: bool,
 }
 
 /// Endpoint state that a desk reports to routers.
@@ -161,6 +163,7 @@
             return Err(DeskRefusal {
                 key,
                 retry_after: retry_after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1),
+                is_limited: self.gate.limit_wait(1, now) > time_left,
             });
         }
         self.queue.push(key, DeskAsk { asked: now, ..ask });
@@ -226,14 +229,18 @@
     /// Removes the requests whose latest useful start has passed and returns their refusals.
     pub fn refuse_overdue(&mut self, now: ClockTime) -> Vec<DeskRefusal> {
         let overdue = self.queue.take_where(|_, ask| now > ask.until);
+        let limit_wait = self.gate.limit_wait(1, now);
         let retry_after = self
             .gate
             .backlog(now)
+            .max(limit_wait)
             .clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
-        overdue
-            .into_iter()
-            .map(|(key, _)| DeskRefusal { key, retry_after })
-            .collect()
+        let refusals = overdue.into_iter().map(|(key, _)| DeskRefusal {
+            key,
+            retry_after,
+            is_limited: !limit_wait.is_zero(),
+        });
+        refusals.collect()
     }
 
     /// Returns the state to report to routers.
@@ -241,7 +248,8 @@
     pub fn state(&self, now: ClockTime) -> DeskState {
         let waiting: f64 = self.queue.iter().map(|(_, ask)| ask.units).sum();
         DeskState {
-            wait: self.gate.backlog(now) + self.rate.time(waiting),
+            wait: (self.gate.backlog(now) + self.rate.time(waiting))
+                .max(self.gate.limit_wait(self.queue.len() + 1, now)),
             rate: self.rate,
             running: self.gate.running() as u32,
         }
@@ -275,14 +283,18 @@
         self.gate.end(key, now);
     }
 
-    /// Expected wait of a request: the prefill in progress, and the requests queued before it.
+    /// Expected wait of a request: the prefill in progress, and the requests queued before it, or the
+    /// time until the endpoint's rate allows it.
     fn expected_wait(&self, ask: &DeskAsk, meter: &CustomerMeter, now: ClockTime) -> Duration {
         let own = meter.received(ask.customer, now);
         let ahead = self.queue.iter().filter(|(_, other)| {
             other.customer == ask.customer || meter.received(other.customer, now) < own
         });
-        let units: f64 = ahead.map(|(_, other)| other.units).sum();
-        self.gate.backlog(now) + self.rate.time(units)
+        let (count, units) = ahead.fold((0, 0.0), |(count, units), (_, other)| {
+            (count + 1, units + other.units)
+        });
+        let prefill = self.gate.backlog(now) + self.rate.time(units);
+        prefill.max(self.gate.limit_wait(count + 1, now))
     }
 }
 
--- a/crates/cicadalock-core/src/desk/endpoint_gate.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_gate.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
 use super::endpoint_desk::RunKey;
+use super::rate_limiter::RateLimiter;
+use super::request_rate::RequestRate;
 use crate::collect::SortedMap;
 use crate::id::LinkId;
 use crate::time::ClockTime;
@@ -56,6 +58,8 @@
     allowance_updated_at: ClockTime,
     /// Requests at the endpoint that were not started through this gate.
     foreign: u32,
+    /// Keeps to the rate of requests that the endpoint takes; `None` without a limit.
+    limiter: Option<RateLimiter>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -107,6 +111,7 @@
             allowance: 0.0,
             allowance_updated_at: ClockTime::from_micros(0),
             foreign: 0,
+            limiter: None,
         }
     }
 
@@ -141,7 +146,34 @@
     /// Returns whether a request may start now.
     #[must_use]
     pub fn admits(&self, demand: &RequestDemand, now: ClockTime) -> bool {
-        self.has_capacity(demand) && self.prefill_fits(demand, now)
+        self.has_allowance(now) && self.has_capacity(demand) && self.prefill_fits(demand, now)
+    }
+
+    /// Sets the rate of requests that the endpoint takes; `None` ends the limit.
+    pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, now: ClockTime) {
+        match (&mut self.limiter, rate) {
+            (Some(limiter), Some(rate)) => limiter.set_rate(rate, now),
+            (None, Some(rate)) => self.limiter = Some(RateLimiter::new(rate, now)),
+            (_, None) => self.limiter = None,
+        }
+    }
+
+    /// Returns the time until `count` more requests may have started at the endpoint's rate.
+    #[must_use]
+    pub fn limit_wait(&self, count: usize, now: ClockTime) -> Duration {
+        let limiter = self.limiter.as_ref();
+        limiter.map_or(Duration::ZERO, |limiter| limiter.wait(count, now))
+    }
+
+    /// Returns the time that one request takes at the endpoint's rate; zero without a limit.
+    #[must_use]
+    pub fn limit_spacing(&self) -> Duration {
+        let limiter = self.limiter.as_ref();
+        limiter.map_or(Duration::ZERO, RateLimiter::spacing)
+    }
+
+    fn has_allowance(&self, now: ClockTime) -> bool {
+        self.limiter.is_none_or(|limiter| limiter.admits(now))
     }
 
     /// Returns whether there are a free slot and enough memory for a request.
@@ -188,6 +220,9 @@
         prefill_tokens: f64,
         now: ClockTime,
     ) {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.record_start(now);
+        }
         let exclusive_prefill_tokens =
             (!self.is_prefilling() && prefill_tokens > 0.0).then_some(prefill_tokens);
         for run in self.runs.values_mut() {
--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -27,6 +27,8 @@
     pub max_attempts: u32,
     /// Whether the request tries a part of prompts that is refused otherwise.
     pub is_trial: bool,
+    /// Endpoints that had no room for the request within their limit.
+    pub passed_over: Vec<EndpointId>,
     /// Endpoints of earlier attempts, including those that were not reached.
     pub tried: Vec<EndpointId>,
 }
@@ -83,6 +85,7 @@
                 may_retry: false,
                 max_attempts: 1,
                 is_trial: false,
+                passed_over: Vec::new(),
                 tried: Vec::new(),
             },
         }
--- a/crates/cicadalock-core/src/gateway/endpoint_state.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::endpoint_limits::EndpointLimit;
 use crate::desk::{EndpointDesk, GateLimits, WaitForecast};
 use crate::place::{EndpointHealth, PrefillRate};
 use crate::serving::{ListedEndpoint, ServiceTraits};
@@ -22,6 +23,8 @@
     pub(super) is_replaced: bool,
     /// Whether its missing entry is taken to mean that it has left.
     pub(super) is_presumed_gone: bool,
+    /// The limit that it named; `None` if it never did.
+    pub(super) limit: Option<EndpointLimit>,
 }
 
 /// Last reported state of an endpoint's desk, with the requests asked since added to the forecast.
@@ -30,6 +33,10 @@
     pub(super) rate: PrefillRate,
     pub(super) forecast: WaitForecast,
     pub(super) last_message: ClockTime,
+    /// Time that one request takes at the endpoint's limit; zero without one.
+    pub(super) spacing: Duration,
+    /// Number of routers that are connected to the desk.
+    pub(super) routers: u32,
 }
 
 impl EndpointState {
@@ -44,6 +51,7 @@
             own_requests: 0,
             is_replaced: false,
             is_presumed_gone,
+            limit: None,
         }
     }
 
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -73,6 +73,8 @@
     pub(super) lagged_at: ClockTime,
     /// Keeps requests from endpoints that would crash on a part of their prompt.
     pub(super) guard: PartGuard,
+    /// Number of routers that a desk last told.
+    pub(super) last_router_count: u32,
     /// Number of desks to which evidence was sent so far.
     pub(super) evidence_sent: usize,
 }
@@ -84,6 +86,9 @@
     /// Prefill work of all prompts and of long ones, decayed with each prompt.
     all_work: f64,
     long_work: f64,
+    /// Number of requests as of `counted_at`, decayed with [`DEMAND_HALF_LIFE`].
+    requests: f64,
+    counted_at: ClockTime,
 }
 
 #[derive(Debug)]
@@ -118,6 +123,9 @@
     }
 }
 
+/// Half-life of the requests that a router's demand is computed from.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Decay factor per prompt of the work that the fraction of long prompts is computed from.
 const WORK_DECAY: f64 = 0.995;
 
@@ -127,9 +135,21 @@
             budget: RetryWindow::new(bounds.retry_ratio, bounds.retry_window),
             all_work: 0.0,
             long_work: 0.0,
+            requests: 0.0,
+            counted_at: ClockTime::default(),
         }
     }
 
+    fn record_request(&mut self, now: ClockTime) {
+        self.requests = self.requests_at(now) + 1.0;
+        self.counted_at = now;
+    }
+
+    fn requests_at(&self, now: ClockTime) -> f64 {
+        let half_lives = now.since(self.counted_at).as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64();
+        self.requests * 0.5_f64.powf(half_lives)
+    }
+
     fn record_work(&mut self, plan: &PlacementPlan) {
         let long = if plan.is_long { plan.units } else { 0.0 };
         self.all_work = self.all_work * WORK_DECAY + plan.units;
@@ -165,6 +185,7 @@
             sums_requested: 0,
             lagged_at: ClockTime::default(),
             guard: PartGuard::default(),
+            last_router_count: 1,
             evidence_sent: 0,
         }
     }
@@ -223,7 +244,9 @@
 
     /// Adds a caller's request and counts it towards the retry budget.
     pub fn submit(&mut self, id: RequestId, call: GatewayCall, now: ClockTime) {
-        self.traffic_entry(&call.service).budget.record_request(now);
+        let traffic = self.traffic_entry(&call.service);
+        traffic.budget.record_request(now);
+        traffic.record_request(now);
         self.enqueue(id, call, now);
     }
 
@@ -370,6 +393,13 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the recent rate of requests for a service, in requests per second.
+    pub(super) fn request_rate(&self, service: &ServiceName, now: ClockTime) -> f64 {
+        let traffic = self.traffic.get(service);
+        let requests = traffic.map_or(0.0, |traffic| traffic.requests_at(now));
+        requests * std::f64::consts::LN_2 / DEMAND_HALF_LIFE.as_secs_f64()
+    }
+
     fn traffic_entry(&mut self, service: &ServiceName) -> &mut ServiceTraffic {
         let bounds = self.bounds;
         self.traffic
@@ -396,7 +426,7 @@
         let phase = match &mut state.remote {
             Some(remote) => {
                 let read = remote.rate.time(ask.units);
-                remote.forecast.add(read, now);
+                remote.forecast.add(read.max(remote.spacing), now);
                 GatewayPhase::Asked
             }
             None => match state.desk.ask(own_key(id), ask, &self.meter, now) {
--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod action;
 mod call;
 mod crash_evidence;
+mod endpoint_limits;
 mod endpoint_state;
 mod lag_meter;
 mod machine;
--- a/crates/cicadalock-core/src/gateway/placing.rs
+++ b/crates/cicadalock-core/src/gateway/placing.rs
@@ -70,6 +70,7 @@
             state.listed.service == call.service
                 && state.is_usable(now)
                 && !call.tried.contains(*id)
+                && !call.passed_over.contains(*id)
         });
         let mut candidates: Vec<Candidate<'_>> = usable.collect();
         if candidates.iter().any(|(_, state)| !state.is_suspect(now)) {
@@ -80,7 +81,7 @@
         let plans = candidates.iter().map(|(id, state)| {
             let (mut cost, plan) = match &profile {
                 Some(profile) => self.plan_prompt(id, state, profile, now),
-                None => plan_application(id, state),
+                None => plan_application(id, state, now),
             };
             if state.listed.zone != self.zone {
                 cost += CROSS_ZONE_COST;
@@ -172,10 +173,15 @@
     }
 }
 
-fn plan_application(id: &EndpointId, state: &EndpointState) -> (Duration, PlacementPlan) {
+fn plan_application(
+    id: &EndpointId,
+    state: &EndpointState,
+    now: ClockTime,
+) -> (Duration, PlacementPlan) {
     let queued = state.desk.waiting() + state.desk.gate().running();
     let rounds = 1.0 + queued as f64 / f64::from(state.listed.slots.max(1));
-    let expected = APPLICATION_TIME.mul_f64(rounds);
+    let limit_wait = state.desk.gate().limit_wait(state.desk.waiting() + 1, now);
+    let expected = APPLICATION_TIME.mul_f64(rounds).max(limit_wait);
     let plan = PlacementPlan {
         endpoint: id.clone(),
         units: 0.0,
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -4,7 +4,7 @@
 use super::machine::{
     GatewayMachine, GatewayPhase, OTHER_ROUTERS_LINK, OWN_LINK, TOTALS_INTERVAL, own_key,
 };
-use crate::desk::DeskAsk;
+use crate::desk::{DeskAsk, RequestRate};
 use crate::id::{CustomerId, EndpointId, RequestId};
 use crate::message::{DeskAskFrame, DeskHello, DeskMessage, DeskRun, DeskSums, DeskTotals};
 use crate::place::PrefillRate;
@@ -18,6 +18,9 @@
 /// Number of desks that are asked for sums in each exchange.
 const SUM_DESKS: usize = 2;
 
+/// Number of endpoints at their limit that a request passes over before it is refused.
+const MAX_PASSED_OVER: usize = 3;
+
 /// Lag of this router above which it restarts the silence timers of desks.
 ///
 /// Less than a third of [`DESK_SILENCE_LIMIT`], and longer than a CPU quota stops a process at a
@@ -76,9 +79,22 @@
                 let wait = Duration::from_millis(u64::from(frame.wait_ms));
                 remote.forecast.reset(wait, now);
                 remote.rate = PrefillRate::from_tokens_per_milli(f64::from(frame.rate));
+                remote.routers = frame.routers;
+                let spacing = frame
+                    .limit
+                    .map(|rate| RequestRate::per_second(rate).time_of(1.0));
+                remote.spacing = spacing.unwrap_or_default();
                 state.desk.set_rate(remote.rate);
+                self.last_router_count = frame.routers;
+                let known = state.limit;
                 if is_new {
                     self.send_board(endpoint, now);
+                    // A desk that has just started knows of no limit.
+                    self.report_limit(endpoint, now);
+                }
+                if !is_new || known.is_none() {
+                    let rate = frame.limit.map(RequestRate::per_second);
+                    self.receive_limit(endpoint, rate, now);
                 }
             }
             DeskMessage::Grant(notice) => {
@@ -94,17 +110,40 @@
                 let id = RequestId::new(frame.request);
                 let asked = self.requests.get(&id);
                 if asked.is_some_and(|request| request.phase == GatewayPhase::Asked) {
-                    self.requests.remove(&id);
                     let advice = Duration::from_millis(u64::from(frame.come_back_ms));
-                    self.refuse(id, RefusalReason::NoRoomInTime, advice);
+                    self.handle_refusal(id, frame.is_limited, advice, now);
                 }
             }
             DeskMessage::Sums(sums) => self.apply_sums(&sums, now),
             DeskMessage::Evidence(frame) => self.receive_evidence(frame, now),
+            DeskMessage::Share(frame) => self.receive_share(&frame, now),
             _ => {}
         }
     }
 
+    /// Refuses a request that the desk of its endpoint refused, or asks another one if only the limit of
+    /// that endpoint was the reason.
+    fn handle_refusal(
+        &mut self,
+        id: RequestId,
+        is_limited: bool,
+        advice: Duration,
+        now: ClockTime,
+    ) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let call = &mut request.call;
+        if is_limited && call.passed_over.len() < MAX_PASSED_OVER {
+            call.passed_over.push(request.plan.endpoint);
+            if self.plan(call, now).is_some() {
+                self.enqueue(id, request.call, now);
+                return;
+            }
+        }
+        self.refuse(id, RefusalReason::NoRoomInTime, advice);
+    }
+
     /// Derives what customers received through other routers from the sums over all routers.
     fn apply_sums(&mut self, sums: &DeskSums, now: ClockTime) {
         for sum in &sums.lines {
@@ -124,6 +163,7 @@
         }
         self.last_exchange = now;
         self.send_evidence(now);
+        self.report_demands(now);
         let desks = self.connected_desks();
         let lines = self.meter.totals(Some(OWN_LINK), now);
         let first = self.sums_requested;
@@ -150,6 +190,7 @@
             return;
         };
         state.remote = None;
+        self.apply_limit(endpoint, now);
         let asked = self.requests.iter().filter(|(_, request)| {
             request.phase == GatewayPhase::Asked && request.plan.endpoint == *endpoint
         });
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -75,6 +75,9 @@
     /// Expected time until the endpoint has capacity, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub come_back_ms: u32,
+    /// Whether the endpoint's limit is the reason, so that other endpoints may have room.
+    #[prost(bool, tag = "3")]
+    pub is_limited: bool,
 }
 
 /// A desk's estimate of its endpoint's load.
@@ -89,13 +92,22 @@
     /// Number of requests running at the endpoint.
     #[prost(uint32, tag = "3")]
     pub running: u32,
+    /// Requests per second that the endpoint takes from all routers together; absent without a limit.
+    #[prost(double, optional, tag = "4")]
+    pub limit: Option<f64>,
+    /// Number of routers that are connected to the desk.
+    #[prost(uint32, tag = "5")]
+    pub routers: u32,
 }
 
 /// One frame between a router and a desk.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct DeskEnvelope {
     /// The message; absent if the peer sent a type that this version does not know.
-    #[prost(oneof = "DeskMessage", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(
+        oneof = "DeskMessage",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub message: Option<DeskMessage>,
 }
 
@@ -136,6 +148,15 @@
     /// did not know.
     #[prost(message, tag = "11")]
     Evidence(EvidenceFrame),
+    /// Router to desk: the limit that the desk's endpoint named, or its end.
+    #[prost(message, tag = "12")]
+    Limit(LimitFrame),
+    /// Router to desk: the limit of an endpoint without a desk, and the router's demand there.
+    #[prost(message, tag = "13")]
+    Demand(DemandFrame),
+    /// Desk to router: the router's share of such a limit.
+    #[prost(message, tag = "14")]
+    Share(ShareFrame),
 }
 
 /// Decayed cost that customers received through the sending router.
@@ -168,6 +189,48 @@
     pub received: f32,
 }
 
+/// The limit that an endpoint named in an answer.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LimitFrame {
+    /// Requests per second from all routers together; absent if the limit has ended.
+    #[prost(double, optional, tag = "1")]
+    pub limit: Option<f64>,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+/// The limit of an endpoint without a desk, and a router's demand there.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DemandFrame {
+    /// Id of the endpoint's incarnation.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Requests per second from all routers together; absent if the limit has ended.
+    #[prost(double, optional, tag = "2")]
+    pub limit: Option<f64>,
+    /// Time since the endpoint named the limit, or was found to name none, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Requests per second for the endpoint's service that the router receives.
+    #[prost(float, tag = "4")]
+    pub demand: f32,
+}
+
+/// A router's share of an endpoint's limit.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ShareFrame {
+    /// Id of the endpoint's incarnation.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Requests per second from all routers together; absent if the limit has ended.
+    #[prost(double, optional, tag = "2")]
+    pub limit: Option<f64>,
+    /// The router's share of the limit, in requests per second.
+    #[prost(double, tag = "3")]
+    pub share: f64,
+}
+
 /// Evidence of parts of prompts that crash endpoints, and of parts that do not.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EvidenceFrame {
--- a/crates/cicadalock-core/src/quarantine/broken_attempts.rs
+++ b/crates/cicadalock-core/src/quarantine/broken_attempts.rs
@@ -1,10 +1,9 @@
 use std::time::Duration;
 
 use super::crash_report::SuspectRequest;
-use super::past_time::PastTime;
 use crate::collect::SortedMap;
 use crate::id::{EndpointId, PartId, ServiceName};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Time after a lost request within which its endpoint is found to have crashed, if it has.
 const RESOLVE_TIME: Duration = Duration::from_secs(2);
--- a/crates/cicadalock-core/src/quarantine/crash_report.rs
+++ b/crates/cicadalock-core/src/quarantine/crash_report.rs
@@ -1,9 +1,8 @@
 use std::time::Duration;
 
-use super::past_time::PastTime;
 use crate::id::{EndpointId, NameError, PartId, ServiceName};
 use crate::message::{CrashFrame, SoundFrame, SuspectFrame};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Largest number of requests in a report; a crash with more suspects says little about each.
 const MAX_REQUESTS: usize = 64;
--- a/crates/cicadalock-core/src/quarantine/evidence_board.rs
+++ b/crates/cicadalock-core/src/quarantine/evidence_board.rs
@@ -4,11 +4,10 @@
 
 use super::crash_report::{CrashReport, ReportId, SoundPart};
 use super::part_verdict::{VerdictTable, judge};
-use super::past_time::PastTime;
 use crate::collect::SortedMap;
 use crate::id::{PartId, ServiceName};
 use crate::message::EvidenceFrame;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Age beyond which evidence is dropped.
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(180);
--- a/crates/cicadalock-core/src/quarantine/mod.rs
+++ b/crates/cicadalock-core/src/quarantine/mod.rs
@@ -10,8 +10,8 @@
 //!
 //! ```
 //! use cicadalock_core::id::PartId;
-//! use cicadalock_core::quarantine::{CrashReport, EvidenceBoard, PastTime, ReportId, SuspectRequest};
-//! use cicadalock_core::time::ClockTime;
+//! use cicadalock_core::quarantine::{CrashReport, EvidenceBoard, ReportId, SuspectRequest};
+//! use cicadalock_core::time::{ClockTime, PastTime};
 //!
 //! let now = ClockTime::from_millis(60_000);
 //! let mut board = EvidenceBoard::default();
@@ -36,12 +36,10 @@
 mod evidence_board;
 mod part_guard;
 mod part_verdict;
-mod past_time;
 mod sound_memory;
 
 pub use crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
 pub use evidence_board::EvidenceBoard;
 pub use part_guard::{GuardChange, PartGuard, SURVIVAL_TIME};
 pub use part_verdict::{PartVerdict, VerdictTable};
-pub use past_time::PastTime;
 pub use sound_memory::SoundMemory;
--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -4,12 +4,11 @@
 use super::crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
 use super::evidence_board::EvidenceBoard;
 use super::part_verdict::{CRASH_LIMIT, PartVerdict, VerdictTable, count_crashes};
-use super::past_time::PastTime;
 use super::sound_memory::SoundMemory;
 use crate::id::{EndpointId, PartId, ServiceName};
 use crate::message::EvidenceFrame;
 use crate::serving::PromptShape;
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Time that an answer has to go on to speak for the parts of its prompt.
 ///
--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -1,10 +1,9 @@
 use std::time::Duration;
 
 use super::crash_report::{CrashReport, ReportId, SuspectRequest};
-use super::past_time::PastTime;
 use crate::collect::SortedMap;
 use crate::id::{EndpointId, PartId, ServiceName};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Crashes one after the other, each begun by a request with the part, after which it is refused.
 pub(super) const CRASH_LIMIT: usize = 3;
--- a/crates/cicadalock-core/src/quarantine/sound_memory.rs
+++ b/crates/cicadalock-core/src/quarantine/sound_memory.rs
@@ -1,9 +1,8 @@
 use std::time::Duration;
 
-use super::past_time::PastTime;
 use crate::collect::SortedMap;
 use crate::id::{PartId, ServiceName};
-use crate::time::ClockTime;
+use crate::time::{ClockTime, PastTime};
 
 /// Number of parts that are remembered; 64 bytes each.
 const CAPACITY: usize = 4_096;
--- a/crates/cicadalock-core/src/time/mod.rs
+++ b/crates/cicadalock-core/src/time/mod.rs
@@ -12,7 +12,9 @@
 //! ```
 
 mod clock_time;
+mod past_time;
 mod wall_time;
 
 pub use clock_time::ClockTime;
+pub use past_time::PastTime;
 pub use wall_time::WallTime;
--- a/crates/cicadalock-core/src/quarantine/past_time.rs
+++ b/crates/cicadalock-core/src/time/past_time.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::time::ClockTime;
+use super::clock_time::ClockTime;
 
 /// A time on this process's clock that may lie before the clock's origin.
 ///
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -408,6 +408,8 @@
         wait_ms,
         rate: 80.0,
         running: 0,
+        limit: None,
+        routers: 1,
     })
 }
 
@@ -524,6 +526,7 @@
     let frame = DeskRefusalFrame {
         request: 1,
         come_back_ms: 700,
+        is_limited: false,
     };
     machine.receive_desk_message(&endpoint(0), DeskMessage::Refuse(frame), at(3));
     let actions = machine.take_actions(at(3));
--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -5,11 +5,10 @@
 use cicadalock_core::id::{EndpointId, PartId, ServiceName};
 use cicadalock_core::message::EvidenceFrame;
 use cicadalock_core::quarantine::{
-    CrashReport, EvidenceBoard, PartGuard, PastTime, ReportId, SoundPart, SuspectRequest,
-    VerdictTable,
+    CrashReport, EvidenceBoard, PartGuard, ReportId, SoundPart, SuspectRequest, VerdictTable,
 };
 use cicadalock_core::serving::PromptShape;
-use cicadalock_core::time::ClockTime;
+use cicadalock_core::time::{ClockTime, PastTime};
 use proptest::prelude::*;
 use support::seeded;
 use yare::parameterized;
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use cicadalock_core::collect::SortedMap;
-use cicadalock_core::desk::RequestRate;
 use cicadalock_core::gateway::{
     AttemptEnd, GatewayAction, GatewayMachine, LagMeter, RefusalReason,
 };
@@ -66,8 +65,6 @@
     pub(super) pool: ConnectionPool,
     pub(super) answer_buffers: AnswerBuffers,
     pub(super) desks: DeskLinks,
-    /// The limits that endpoints named last.
-    pub(super) limits: RefCell<SortedMap<EndpointId, RequestRate>>,
     pub(super) is_stopping: Cell<bool>,
     /// Whether the number of callers' connections is close to its limit.
     pub(super) is_near_connection_limit: Cell<bool>,
@@ -98,7 +95,6 @@
             pool: ConnectionPool::default(),
             answer_buffers: AnswerBuffers::default(),
             desks: DeskLinks::default(),
-            limits: RefCell::new(SortedMap::new()),
             is_stopping: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
             lag: Cell::new(LagMeter::default()),
