fix(gateway): an endpoint that another router saw crash gets no requests until it is back

A report of a crash that is less than half a second old now makes the endpoint suspect at every router that hears it. The new test in core/tests/gateway_machine.rs failed before: all 19 requests went to the crashed endpoint.

--- a/crates/cicadalock-core/src/gateway/crash_evidence.rs
+++ b/crates/cicadalock-core/src/gateway/crash_evidence.rs
@@ -12,6 +12,9 @@
 /// Number of desks that pass on each piece of evidence; the next ones follow a second later.
 const EVIDENCE_DESKS: usize = 3;
 
+/// Age up to which another router's report of a crash says that the endpoint does not answer now.
+const CRASH_NEWS_AGE: Duration = Duration::from_millis(500);
+
 impl GatewayMachine {
     /// Sets the random number under which this process reports crashes to other routers.
     pub const fn set_reporter(&mut self, reporter: u64) {
@@ -165,6 +168,16 @@
     }
 
     pub(super) fn receive_evidence(&mut self, frame: EvidenceFrame, now: ClockTime) {
+        for crash in &frame.crashes {
+            let age = Duration::from_millis(crash.crashed_age_ms.into());
+            let endpoint = crash.endpoint.parse::<EndpointId>().ok();
+            let state = endpoint.and_then(|endpoint| self.endpoints.get_mut(&endpoint));
+            if let Some(state) = state
+                && age < CRASH_NEWS_AGE
+            {
+                state.health.mark_suspect(now);
+            }
+        }
         let invalid = self.guard.receive(frame, now);
         if invalid > 0 {
             self.actions.push(GatewayAction::ReportInvalid(invalid));
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -11,7 +11,8 @@
 };
 use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
 use cicadalock_core::message::{
-    CustomerTotal, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
+    CrashFrame, CustomerTotal, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
+    EvidenceFrame,
 };
 use cicadalock_core::retry::RetryWindow;
 use cicadalock_core::serving::{
@@ -413,6 +414,46 @@
     })
 }
 
+/// What another router reports of a crash of an endpoint `age_ms` before.
+fn crash_evidence(number: usize, age_ms: u32) -> DeskMessage {
+    DeskMessage::Evidence(EvidenceFrame {
+        crashes: vec![CrashFrame {
+            reporter: 7,
+            number: age_ms,
+            service: "model".to_owned(),
+            endpoint: endpoint(number).to_string(),
+            crashed_age_ms: age_ms,
+            requests: Vec::new(),
+        }],
+        ..EvidenceFrame::default()
+    })
+}
+
+#[test]
+fn an_endpoint_that_another_router_saw_crash_gets_no_request_at_once() {
+    let mut machine = machine(2, 8, Some(600_000));
+    for number in 0..2 {
+        machine.receive_desk_message(&endpoint(number), desk_state(0), at(0));
+    }
+    machine.receive_desk_message(&endpoint(1), crash_evidence(0, 20), at(1_000));
+    machine.receive_desk_message(&endpoint(1), crash_evidence(1, 30_000), at(1_000));
+    for number in 1..20 {
+        machine.submit(RequestId::new(number), call(at(1_010), true), at(1_010));
+    }
+    let actions = machine.take_actions(at(1_010));
+    let asked = actions.iter().filter_map(|action| match action {
+        GatewayAction::SendToDesk {
+            endpoint,
+            message: DeskMessage::Ask(_),
+        }
+        | GatewayAction::Start { endpoint, .. } => Some(endpoint.clone()),
+        _ => None,
+    });
+    let asked: Vec<EndpointId> = asked.collect();
+    assert_eq!(asked.len(), 19);
+    assert!(asked.iter().all(|id| *id == endpoint(1)), "{asked:?}");
+}
+
 /// Returns the messages to desks, without the periodic totals.
 fn desk_messages(actions: &[GatewayAction]) -> Vec<&DeskMessage> {
     let messages = actions.iter().filter_map(|action| match action {
