feat(soak): endpoints name limits and crash on parts of prompts

They are drawn from a stream of their own, so that the other faults of a seed stay as they were. Crashes behind a disturbed link or while every desk is disturbed are not counted, nor are requests of disturbed routers; tests show that each check reports a violation and nothing else. Streams of engines carry prompts now, a part of them shared.

--- a/crates/trial/src/soak/fault_plan.rs
+++ b/crates/trial/src/soak/fault_plan.rs
@@ -1,11 +1,21 @@
 use std::fmt;
 use std::time::Duration;
 
+use cicadalock_standins::CrashStyle;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 use crate::proxy::ProxyFault;
 
+/// Ways in which a crash shows. After a quiet end between two events, a stream looks complete.
+const CRASH_STYLES: [CrashStyle; 5] = [
+    CrashStyle::NoHead,
+    CrashStyle::Reset,
+    CrashStyle::CutInEvent,
+    CrashStyle::EarlyEnd,
+    CrashStyle::QuietCutInEvent,
+];
+
 /// Time from the start of one fault to the start of the next, in milliseconds. Most faults last
 /// longer, so faults overlap.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..700;
@@ -14,6 +24,18 @@
 /// processes.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 150..2_600;
 
+/// Time from the start of one named limit or crashing part to the start of the next, in milliseconds.
+const NEWS_INTERVAL_MS: std::ops::Range<u64> = 400..2_500;
+
+/// Duration of a named limit, in milliseconds. Most last longer than the contact time.
+const LIMIT_DURATION_MS: std::ops::Range<u64> = 1_000..7_000;
+
+/// Named limits, in tenths of a request per second.
+const LIMIT_TENTHS: std::ops::Range<u32> = 2..150;
+
+/// Seed offset of what endpoints tell, so that it does not change the other faults of a seed.
+const NEWS_SEED: u64 = 0x6e65_7773;
+
 /// A link that passes through a [`FaultProxy`](crate::proxy::FaultProxy).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakLink {
@@ -65,6 +87,11 @@
     /// Removes the entry of the endpoint with this index without notice, and lists it as started
     /// again at the end of the fault.
     Leave(usize),
+    /// Makes one part of prompts crash every endpoint that begins to answer a request with it, until
+    /// all faults are over.
+    CrashPart(CrashStyle),
+    /// Makes the endpoint with this index name a limit, in tenths of a request per second.
+    NameLimit(usize, u32),
 }
 
 /// Numbers of the processes and stand-ins of a soak.
@@ -131,10 +158,31 @@
                 at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS)) / scale;
             }
         }
+        steps.extend(draw_news(seed, length, size));
+        steps.sort_by_key(|step| step.at);
         Self { steps }
     }
 }
 
+/// Draws the limits that endpoints name and the parts that crash them.
+fn draw_news(seed: u64, length: Duration, size: SoakSize) -> Vec<FaultStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ NEWS_SEED);
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(NEWS_INTERVAL_MS));
+    while at < length {
+        let fault = if rng.random_range(0..3) == 0 {
+            SoakFault::CrashPart(CRASH_STYLES[rng.random_range(0..CRASH_STYLES.len())])
+        } else {
+            let endpoint = rng.random_range(0..size.endpoints);
+            SoakFault::NameLimit(endpoint, rng.random_range(LIMIT_TENTHS))
+        };
+        let span = Duration::from_millis(rng.random_range(LIMIT_DURATION_MS));
+        steps.push(FaultStep { at, span, fault });
+        at += Duration::from_millis(rng.random_range(NEWS_INTERVAL_MS));
+    }
+    steps
+}
+
 fn draw_fault(rng: &mut StdRng, size: SoakSize) -> SoakFault {
     let process = if rng.random_range(0..3) > 0 {
         SoakProcess::Router(rng.random_range(0..size.routers))
--- a/crates/trial/src/soak/guarantees.rs
+++ b/crates/trial/src/soak/guarantees.rs
@@ -2,13 +2,25 @@
 use std::time::{Duration, Instant};
 
 use cicadalock_core::collect::SortedMap;
-use cicadalock_standins::{Answer, EndpointRun, HostSettings, StandInEndpoint};
+use cicadalock_standins::{Answer, EndpointRun, HostSettings, StandInEndpoint, shared_parts};
 
 use super::soak_callers::{CallKind, CallRecord, router_of};
 
 /// Statuses that tell the caller that the request did not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Window in which the requests of a limited endpoint are counted, and the number of requests in it above
+/// one and a half times what the limit allows.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_EXTRA: f64 = 5.0;
+
+/// Crashes by one part after which it has to be known, and the requests with it that may come later.
+const CRASH_LIMIT: usize = 5;
+const LATE_CRASH_LIMIT: usize = 3;
+
+/// Time within which an endpoint crashes after it began to run a request that crashes it.
+const CRASH_TIME: Duration = Duration::from_millis(200);
+
 /// Time within which an endpoint must see the request end after its caller disconnected.
 pub(super) const CANCEL_GRACE: Duration = Duration::from_millis(500);
 
@@ -32,6 +44,33 @@
     pub disturbances: Vec<SoakDisturbance>,
     /// Names of processes that exited without being asked to.
     pub unexpected_exits: Vec<String>,
+    /// Number of desks.
+    pub desks: usize,
+    /// Limits that endpoints named.
+    pub limits: Vec<NamedLimit>,
+    /// Crashes of endpoints, each with the id of the endpoint.
+    pub crashes: Vec<(String, Instant)>,
+}
+
+/// A time in which an endpoint named a limit in each answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NamedLimit {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// The limit, in tenths of a request per second.
+    pub tenths: u32,
+    /// Time of the first answer that could name it.
+    pub from: Instant,
+    /// Time from which answers no longer named it; `None` if it never ended.
+    pub until: Option<Instant>,
+}
+
+impl NamedLimit {
+    /// Returns the limit in requests per second.
+    #[must_use]
+    pub fn per_second(&self) -> f64 {
+        f64::from(self.tenths) / 10.0
+    }
 }
 
 /// A time in which the store listed an endpoint as draining or not at all.
@@ -52,6 +91,8 @@
     Router(usize),
     /// The link to the endpoint with this index.
     Endpoint(usize),
+    /// The process or the link of the desk with this index.
+    Desk(usize),
     /// The store.
     Store,
 }
@@ -112,6 +153,10 @@
     for departure in &evidence.departures {
         check_departure(departure, evidence, &mut violations);
     }
+    for limit in &evidence.limits {
+        check_limit(limit, evidence, &mut violations);
+    }
+    check_crash_parts(evidence, &mut violations);
     for process in &evidence.unexpected_exits {
         violations.push(GuaranteeViolation {
             guarantee: "processes run until they are asked to stop",
@@ -239,7 +284,7 @@
         let status = call.answer.as_ref().map(|answer| answer.status);
         let number = &call.number;
         let is_served = match call.kind {
-            CallKind::Leaving => true,
+            CallKind::Leaving | CallKind::Crashing => true,
             // Every endpoint breaks off its response, which the router reports as 502.
             CallKind::Broken => status == Some(502),
             _ => status == Some(200),
@@ -269,13 +314,7 @@
     evidence: &SoakEvidence,
     violations: &mut Vec<GuaranteeViolation>,
 ) {
-    let is_disturbed = |part: DisturbedPart, at: Instant| {
-        let mut faults = evidence
-            .disturbances
-            .iter()
-            .filter(|fault| fault.part == part);
-        faults.any(|fault| fault.suspends_bounds(at))
-    };
+    let is_disturbed = |part, at| evidence.is_disturbed(part, at);
     if is_disturbed(DisturbedPart::Store, departure.left) {
         return;
     }
@@ -304,6 +343,105 @@
     }
 }
 
+/// Checks that undisturbed routers together keep to a limit from the contact time after it was named.
+fn check_limit(
+    limit: &NamedLimit,
+    evidence: &SoakEvidence,
+    violations: &mut Vec<GuaranteeViolation>,
+) {
+    let due = limit.from + Duration::from_millis(HostSettings::CONTACT_MS);
+    let counted = evidence.runs.iter().filter(|(endpoint, run)| {
+        *endpoint == limit.endpoint
+            && run.started_at >= due
+            && limit.until.is_none_or(|until| run.started_at < until)
+            && evidence.is_router_in_touch(run)
+    });
+    let mut starts: Vec<Instant> = counted.map(|(_, run)| run.started_at).collect();
+    starts.sort();
+    let allowed = 1.5 * limit.per_second() * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXTRA;
+    let in_window = |first: &Instant| {
+        let within = |start: &&Instant| **start >= *first && **start < *first + LIMIT_WINDOW;
+        starts.iter().filter(within).count()
+    };
+    let most = starts.iter().map(in_window).max().unwrap_or_default();
+    if most as f64 > allowed {
+        violations.push(GuaranteeViolation {
+            guarantee: "an endpoint gets no more than its limit from all routers together",
+            observed: format!(
+                "{} got {most} requests in {LIMIT_WINDOW:?} at a limit of {} a second",
+                limit.endpoint,
+                limit.per_second()
+            ),
+        });
+    }
+}
+
+/// Checks that undisturbed routers send endpoints nearly nothing that crashes them, from the contact
+/// time after the fifth crash.
+///
+/// Knowledge of a crash travels over the desks, so crashes while every desk is disturbed are not counted,
+/// nor are those behind a disturbed link.
+fn check_crash_parts(evidence: &SoakEvidence, violations: &mut Vec<GuaranteeViolation>) {
+    let mut parts: SortedMap<&str, Vec<(&str, &EndpointRun)>> = SortedMap::new();
+    for (endpoint, run) in &evidence.runs {
+        for part in shared_parts(&run.head).filter(|part| part.starts_with("bad")) {
+            let runs = parts.get_or_insert_with(part, Vec::new);
+            runs.push((endpoint, run));
+        }
+    }
+    for (part, runs) in parts.iter() {
+        let mut crashes: Vec<Instant> = runs
+            .iter()
+            .filter(|(endpoint, run)| evidence.is_crash_visible(endpoint, run))
+            .map(|(_, run)| run.started_at)
+            .collect();
+        crashes.sort();
+        let Some(fifth) = crashes.get(CRASH_LIMIT - 1) else {
+            continue;
+        };
+        let due = *fifth + Duration::from_millis(HostSettings::CONTACT_MS);
+        let late = runs
+            .iter()
+            .filter(|(_, run)| run.started_at > due && evidence.is_router_in_touch(run));
+        let late = late.count();
+        if late > LATE_CRASH_LIMIT {
+            violations.push(GuaranteeViolation {
+                guarantee: "a part that crashes endpoints is kept from them",
+                observed: format!(
+                    "{late} requests with {part} reached endpoints late, {} in all",
+                    runs.len()
+                ),
+            });
+        }
+    }
+}
+
+impl SoakEvidence {
+    fn is_disturbed(&self, part: DisturbedPart, at: Instant) -> bool {
+        let mut faults = self.disturbances.iter().filter(|fault| fault.part == part);
+        faults.any(|fault| fault.suspends_bounds(at))
+    }
+
+    /// Returns whether no fault disturbed the router that sent a request.
+    fn is_router_in_touch(&self, run: &EndpointRun) -> bool {
+        let router = router_of(&run.number).map(DisturbedPart::Router);
+        router.is_none_or(|router| !self.is_disturbed(router, run.started_at))
+    }
+
+    /// Returns whether a run ended with a crash that routers can see and tell each other.
+    fn is_crash_visible(&self, endpoint: &str, run: &EndpointRun) -> bool {
+        let link = endpoint_index(endpoint).map(DisturbedPart::Endpoint);
+        let is_behind_fault = link.is_some_and(|link| self.is_disturbed(link, run.started_at));
+        let mut crashes = self.crashes.iter();
+        let has_crashed = crashes.any(|(crashed, at)| {
+            crashed == endpoint && *at >= run.started_at && *at < run.started_at + CRASH_TIME
+        });
+        let desks = (0..self.desks).map(DisturbedPart::Desk);
+        let mut in_touch = desks.filter(|desk| !self.is_disturbed(*desk, run.started_at));
+        has_crashed && !is_behind_fault && self.is_router_in_touch(run) && in_touch.next().is_some()
+    }
+}
+
 /// Returns the index in the id of a soak's endpoint.
 fn endpoint_index(id: &str) -> Option<usize> {
     id.strip_prefix("i-")?.parse().ok()
--- a/crates/trial/src/soak/mod.rs
+++ b/crates/trial/src/soak/mod.rs
@@ -24,8 +24,8 @@
 
 pub use fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
 pub use guarantees::{
-    DisturbedPart, EndpointDeparture, GuaranteeViolation, SoakDisturbance, SoakEvidence,
-    find_violations,
+    DisturbedPart, EndpointDeparture, GuaranteeViolation, NamedLimit, SoakDisturbance,
+    SoakEvidence, find_violations,
 };
 pub use soak_callers::{CallKind, CallRecord};
 pub use soak_run::{SoakOptions, SoakReport, run_soak};
--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -1,11 +1,11 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use cicadalock_standins::{Answer, call_on, request};
+use cicadalock_standins::{Answer, call_on, prompt_request, request};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -21,6 +21,9 @@
 /// other caller uses a connection until it ends.
 const REQUESTS_PER_CONNECTION: u32 = 40;
 
+/// Part that begins the prompt of every stream of engines.
+const COMMON_PART: &str = "c0";
+
 /// Pause between two requests of a caller, in milliseconds.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 2..40;
 
@@ -37,6 +40,8 @@
     Advice,
     /// A stream from an endpoint that has a desk.
     Model,
+    /// A stream from an endpoint that has a desk, with a part in its prompt that crashes endpoints.
+    Crashing,
     /// May be retried, and every endpoint closes the connection in the middle of its response.
     Broken,
     /// A request whose caller disconnects while it runs.
@@ -65,7 +70,9 @@
 pub(super) struct CallerShared {
     pub(super) records: Mutex<Vec<CallRecord>>,
     /// Number of the token in the newest configuration.
-    pub(super) token: std::sync::atomic::AtomicU64,
+    pub(super) token: AtomicU64,
+    /// Number of the newest part that crashes endpoints; zero if none does.
+    pub(super) crash_part: AtomicU64,
     pub(super) should_stop: AtomicBool,
 }
 
@@ -73,13 +80,19 @@
     /// Whether the request may run more than once.
     #[must_use]
     pub const fn is_retryable(self) -> bool {
-        matches!(self, Self::Lookup | Self::Broken | Self::Plan | Self::Model)
+        matches!(
+            self,
+            Self::Lookup | Self::Broken | Self::Plan | Self::Model | Self::Crashing
+        )
     }
 
     /// Whether the response is a stream of events.
     #[must_use]
     pub const fn is_stream(self) -> bool {
-        matches!(self, Self::Plan | Self::Advice | Self::Model)
+        matches!(
+            self,
+            Self::Plan | Self::Advice | Self::Model | Self::Crashing
+        )
     }
 
     fn draw(rng: &mut StdRng) -> (Self, &'static str) {
@@ -95,6 +108,11 @@
     }
 }
 
+/// Returns the id of a part that crashes endpoints.
+pub(super) fn crash_part_text(number: u64) -> String {
+    format!("bad{number:x}")
+}
+
 /// Returns the index of the router that the request with this number was sent to.
 pub(super) fn router_of(number: &str) -> Option<usize> {
     let (caller, _) = number.split_once('-')?;
@@ -159,10 +177,22 @@
     number: String,
     rng: &mut StdRng,
 ) -> CallRecord {
-    let (kind, path) = CallKind::draw(rng);
+    let (mut kind, path) = CallKind::draw(rng);
     let token = shared.token.load(Ordering::SeqCst);
     let sent = Instant::now();
-    let text = request(path, &number, &token_text(token));
+    let crash_part = shared.crash_part.load(Ordering::SeqCst);
+    // Every other stream of engines, by the last digit of its number.
+    let is_crashing =
+        kind == CallKind::Model && crash_part > 0 && number.ends_with(['1', '5', '9', 'd']);
+    let text = if is_crashing {
+        kind = CallKind::Crashing;
+        let parts = [COMMON_PART, &crash_part_text(crash_part)];
+        prompt_request(path, &number, &token_text(token), &parts)
+    } else if kind == CallKind::Model {
+        prompt_request(path, &number, &token_text(token), &[COMMON_PART])
+    } else {
+        request(path, &number, &token_text(token))
+    };
     let answer = if kind == CallKind::Leaving {
         // Disconnects while the request runs: without a response, the connection is not reused.
         let _ = stream.write_all(text.as_bytes());
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -69,6 +69,7 @@
     let shared = Arc::new(CallerShared {
         records: Mutex::default(),
         token: AtomicU64::new(testbed.token()),
+        crash_part: AtomicU64::new(0),
         should_stop: AtomicBool::new(false),
     });
     let callers = start_callers(&shared, &testbed.callers(), options.seed);
@@ -112,6 +113,8 @@
             if let Some(step) = pending.pop() {
                 testbed.begin(&step);
                 shared.token.store(testbed.token(), Ordering::SeqCst);
+                let crash_part = testbed.crash_part();
+                shared.crash_part.store(crash_part, Ordering::SeqCst);
                 active.push(step);
             }
         }
@@ -125,6 +128,8 @@
         testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
+    shared.crash_part.store(0, Ordering::SeqCst);
+    testbed.end_news();
     Ok(())
 }
 
@@ -170,6 +175,10 @@
         let runs = endpoint.run_records().into_iter();
         runs.map(|run| (endpoint.id.clone(), run))
     });
+    let crashes = testbed.endpoints.iter().flat_map(|endpoint| {
+        let crashes = endpoint.crashes().into_iter();
+        crashes.map(|at| (endpoint.id.clone(), at))
+    });
     SoakEvidence {
         calls: std::mem::take(&mut lock(&shared.records)),
         runs: runs.collect(),
@@ -183,6 +192,9 @@
         departures: testbed.departures.clone(),
         disturbances: testbed.disturbances.clone(),
         unexpected_exits: testbed.unexpected_exits.clone(),
+        desks: testbed.desk_count(),
+        limits: testbed.limits.clone(),
+        crashes: crashes.collect(),
     }
 }
 
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -7,12 +7,13 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{
-    HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config, is_ready,
+    CrashRule, CrashStyle, HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config,
+    is_ready,
 };
 
 use super::fault_plan::{FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
-use super::guarantees::{DisturbedPart, EndpointDeparture, SoakDisturbance};
-use super::soak_callers::token_text;
+use super::guarantees::{DisturbedPart, EndpointDeparture, NamedLimit, SoakDisturbance};
+use super::soak_callers::{crash_part_text, token_text};
 use crate::fleet::ChildGuard;
 use crate::proxy::{FaultProxy, ProxyFault};
 
@@ -56,6 +57,9 @@
     pub(super) departures: Vec<EndpointDeparture>,
     pub(super) disturbances: Vec<SoakDisturbance>,
     pub(super) unexpected_exits: Vec<String>,
+    pub(super) limits: Vec<NamedLimit>,
+    /// Number of parts so far that crash endpoints.
+    crash_parts: u64,
 }
 
 /// A router or desk process, which may be down.
@@ -134,6 +138,8 @@
             departures: Vec::new(),
             disturbances: Vec::new(),
             unexpected_exits: Vec::new(),
+            limits: Vec::new(),
+            crash_parts: 0,
         };
         for index in 0..size.endpoints {
             testbed.add_endpoint(index, program, folder)?;
@@ -205,6 +211,8 @@
             }
             SoakFault::Drain(endpoint) => self.begin_departure(endpoint, Some("draining")),
             SoakFault::Leave(endpoint) => self.begin_departure(endpoint, None),
+            SoakFault::CrashPart(style) => self.add_crash_part(style),
+            SoakFault::NameLimit(endpoint, tenths) => self.begin_limit(endpoint, tenths),
         }
     }
 
@@ -224,7 +232,9 @@
             | SoakFault::Reload(_)
             | SoakFault::Cut(_)
             | SoakFault::StoreForgets
+            | SoakFault::CrashPart(_)
             | SoakFault::ChangeTokens => {}
+            SoakFault::NameLimit(endpoint, tenths) => self.end_limit(endpoint, Some(tenths)),
         }
         // A stopping process is disturbed until it runs again.
         if let Some(part) = disturbed_part(step.fault)
@@ -235,6 +245,61 @@
         Ok(())
     }
 
+    /// Returns the number of the newest part that crashes endpoints; zero if none does.
+    pub(super) const fn crash_part(&self) -> u64 {
+        self.crash_parts
+    }
+
+    pub(super) const fn desk_count(&self) -> usize {
+        self.size.desks
+    }
+
+    fn add_crash_part(&mut self, style: CrashStyle) {
+        self.crash_parts += 1;
+        let rules: Vec<CrashRule> = (1..=self.crash_parts)
+            .map(|number| CrashRule {
+                part: crash_part_text(number),
+                style,
+            })
+            .collect();
+        for endpoint in &self.endpoints {
+            endpoint.crash_on(&rules);
+        }
+    }
+
+    /// Ends the limits and the crashes that faults began.
+    pub(super) fn end_news(&mut self) {
+        for index in 0..self.endpoints.len() {
+            self.endpoints[index].crash_on(&[]);
+            self.end_limit(index, None);
+        }
+    }
+
+    fn begin_limit(&mut self, index: usize, tenths: u32) {
+        self.end_limit(index, None);
+        let limit = NamedLimit {
+            endpoint: self.endpoints[index].id.clone(),
+            tenths,
+            from: Instant::now(),
+            until: None,
+        };
+        self.endpoints[index].name_limit(Some(&limit.per_second().to_string()));
+        self.limits.push(limit);
+    }
+
+    /// Ends the limit of an endpoint, or only that of `tenths` if it is given.
+    fn end_limit(&mut self, index: usize, tenths: Option<u32>) {
+        let endpoint = &self.endpoints[index];
+        let mut limits = self.limits.iter_mut();
+        let limit = limits.find(|limit| limit.endpoint == endpoint.id && limit.until.is_none());
+        if let Some(limit) = limit
+            && tenths.is_none_or(|tenths| limit.tenths == tenths)
+        {
+            limit.until = Some(Instant::now());
+            endpoint.name_limit(None);
+        }
+    }
+
     /// Lists an endpoint with `state`, or removes its entry, until [`Self::end_departure`].
     ///
     /// Does nothing if an endpoint of the same service is away, as the others carry its load.
@@ -338,10 +403,14 @@
                 restarted.push(DisturbedPart::Router(index));
             }
         }
-        for process in &mut self.desks {
+        for (index, process) in self.desks.iter_mut().enumerate() {
+            let was_stopping = process.is_stopping;
             if process.restart_exited()? {
                 self.unexpected_exits.push(process.name.clone());
             }
+            if was_stopping && !process.is_stopping {
+                restarted.push(DisturbedPart::Desk(index));
+            }
         }
         for part in restarted {
             self.end_disturbance(part);
@@ -452,11 +521,13 @@
         SoakFault::Impair(SoakLink::Endpoint(index), _)
         | SoakFault::Cut(SoakLink::Endpoint(index)) => Some(DisturbedPart::Endpoint(index)),
         SoakFault::StoreRefuses | SoakFault::StoreLapse => Some(DisturbedPart::Store),
-        SoakFault::Freeze(SoakProcess::Desk(_))
-        | SoakFault::Kill(SoakProcess::Desk(_))
-        | SoakFault::Stop(SoakProcess::Desk(_))
-        | SoakFault::Impair(SoakLink::Desk(_), _)
-        | SoakFault::Cut(SoakLink::Desk(_))
+        SoakFault::Freeze(SoakProcess::Desk(index))
+        | SoakFault::Kill(SoakProcess::Desk(index))
+        | SoakFault::Stop(SoakProcess::Desk(index))
+        | SoakFault::Impair(SoakLink::Desk(index), _)
+        | SoakFault::Cut(SoakLink::Desk(index)) => Some(DisturbedPart::Desk(index)),
+        SoakFault::CrashPart(_)
+        | SoakFault::NameLimit(..)
         | SoakFault::Reload(_)
         | SoakFault::StoreForgets
         | SoakFault::ChangeTokens
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -5,7 +5,7 @@
 
 use cicadalock_standins::{Answer, EndpointRun};
 use trial::soak::{
-    CallKind, CallRecord, DisturbedPart, EndpointDeparture, FaultPlan, SoakDisturbance,
+    CallKind, CallRecord, DisturbedPart, EndpointDeparture, FaultPlan, NamedLimit, SoakDisturbance,
     SoakEvidence, SoakOptions, SoakSize, find_violations, run_soak,
 };
 use yare::parameterized;
@@ -128,6 +128,100 @@
     assert_eq!(violated_guarantees(&evidence), expected);
 }
 
+const ABOVE_LIMIT: &str = "an endpoint gets no more than its limit from all routers together";
+
+/// Each case: the number of requests, 10 ms apart from a time after the limit was named, in milliseconds,
+/// and the end of a disturbance of their router. A limit of two a second allows 17 in four seconds.
+#[parameterized(
+    as_many_as_allowed = { 17, 1_300, None, &[] },
+    more_than_allowed = { 18, 1_300, None, &[ABOVE_LIMIT] },
+    before_all_have_to_know = { 18, 900, None, &[] },
+    from_a_router_that_was_disturbed = { 18, 1_300, Some(500), &[] },
+    after_the_limit_has_ended = { 18, 9_000, None, &[] },
+)]
+fn finds_requests_above_a_named_limit(
+    count: u64,
+    first_ms: u64,
+    disturbed_ms: Option<u64>,
+    expected: &[&str],
+) {
+    let named = Instant::now();
+    let after = |millis| named + Duration::from_millis(millis);
+    let mut evidence = SoakEvidence {
+        limits: vec![NamedLimit {
+            endpoint: "i-1".to_owned(),
+            tenths: 20,
+            from: named,
+            until: Some(after(8_000)),
+        }],
+        ..SoakEvidence::default()
+    };
+    for index in 0..count {
+        let mut record = call(CallKind::Lookup, 200, "ok", true);
+        record.number = format!("a-{index:x}");
+        record.answer = None;
+        let (endpoint, mut run) = run(&record.number, None);
+        run.started_at = after(first_ms + index * 10);
+        evidence.calls.push(record);
+        evidence.runs.push((endpoint, run));
+    }
+    let disturbance = disturbed_ms.map(|until_ms| SoakDisturbance {
+        part: DisturbedPart::Router(10 / 4),
+        from: named,
+        until: Some(after(until_ms)),
+    });
+    evidence.disturbances.extend(disturbance);
+    assert_eq!(violated_guarantees(&evidence), expected);
+}
+
+const KEPT_FROM: &str = "a part that crashes endpoints is kept from them";
+
+/// Each case: the number of crashes, 100 ms apart, of requests after the contact time, and what was
+/// disturbed all the while.
+#[parameterized(
+    a_few_late_requests = { 5, 3, None, &[] },
+    more_late_requests = { 5, 4, None, &[KEPT_FROM] },
+    too_few_crashes = { 4, 4, None, &[] },
+    while_their_router_was_disturbed = { 5, 4, Some(DisturbedPart::Router(10 / 4)), &[] },
+    behind_a_disturbed_link = { 5, 4, Some(DisturbedPart::Endpoint(1)), &[] },
+    while_the_only_desk_was_disturbed = { 5, 4, Some(DisturbedPart::Desk(0)), &[] },
+)]
+fn finds_a_crashing_part_that_still_reaches_endpoints(
+    crashes: u64,
+    late: u64,
+    disturbed: Option<DisturbedPart>,
+    expected: &[&str],
+) {
+    let start = Instant::now();
+    let mut evidence = SoakEvidence {
+        desks: 1,
+        ..SoakEvidence::default()
+    };
+    let from_crashes = (0..crashes).map(|index| index * 100);
+    let times = from_crashes.chain((0..late).map(|index| 2_500 + index * 100));
+    for (index, millis) in times.enumerate() {
+        let mut record = call(CallKind::Crashing, 200, "", false);
+        record.number = format!("a-{index:x}");
+        record.answer = None;
+        let (endpoint, mut run) = run(&record.number, None);
+        run = run.with_parts("c0:9,bad1:9,5:9");
+        run.started_at = start + Duration::from_millis(millis);
+        if (index as u64) < crashes {
+            evidence.crashes.push((endpoint.clone(), run.started_at));
+        }
+        evidence.calls.push(record);
+        evidence.runs.push((endpoint, run));
+    }
+    evidence
+        .disturbances
+        .extend(disturbed.map(|part| SoakDisturbance {
+            part,
+            from: start,
+            until: None,
+        }));
+    assert_eq!(violated_guarantees(&evidence), expected);
+}
+
 #[test]
 fn finds_requests_that_are_not_served_once_faults_are_over() {
     let mut evidence = SoakEvidence {
