fix(core): crashes of an endpoint that is down are not counted as further crashes

Its log: 18 crashes in turn within 0.4 s at two endpoints. Cause: a request that a proxy took for an endpoint that was down, and broke, was reported as a crash of its own, and began after the crash before. Now an attempt counts only if it was sent before its endpoint crashed, until the endpoint answers again, and an endpoint at most once a second. Of the same evidence, found while mending it, and too interwoven with it for commits of their own: - an answer with neither length nor chunks that ended quietly spoke for its parts once the endpoint answered again, also after a restart; it now takes an answer on a connection from before, or within 300 ms.

--- a/crates/cicadalock-core/src/gateway/crash_evidence.rs
+++ b/crates/cicadalock-core/src/gateway/crash_evidence.rs
@@ -41,11 +41,14 @@
             return;
         };
         if let GatewayPhase::Running {
-            begun: Some(begun), ..
+            started,
+            begun: Some(begun),
         } = request.phase
             && now.since(begun) >= SURVIVAL_TIME
             && let Some(prompt) = &request.call.prompt
         {
+            self.guard
+                .record_answer(&request.plan.endpoint, started, now);
             self.guard
                 .record_sound(&request.call.service, prompt, begun, now);
         }
@@ -54,7 +57,7 @@
     /// Records whether an endpoint that broke requests accepts connections.
     pub fn record_check(&mut self, endpoint: &EndpointId, is_alive: bool, now: ClockTime) {
         if is_alive {
-            self.guard.record_alive(endpoint, now);
+            self.guard.record_alive(endpoint);
             return;
         }
         if let Some(state) = self.endpoints.get_mut(endpoint) {
@@ -105,6 +108,7 @@
         match end {
             AttemptEnd::Complete => {
                 let begun = begun.unwrap_or(started);
+                self.guard.record_answer(endpoint, started, now);
                 self.guard.record_sound(service, prompt, begun, now);
             }
             AttemptEnd::CompleteUnframed | AttemptEnd::Broken => {
@@ -170,12 +174,16 @@
     pub(super) fn receive_evidence(&mut self, frame: EvidenceFrame, now: ClockTime) {
         for crash in &frame.crashes {
             let age = Duration::from_millis(crash.crashed_age_ms.into());
-            let endpoint = crash.endpoint.parse::<EndpointId>().ok();
-            let state = endpoint.and_then(|endpoint| self.endpoints.get_mut(&endpoint));
-            if let Some(state) = state
+            let Ok(endpoint) = crash.endpoint.parse::<EndpointId>() else {
+                continue;
+            };
+            if let Some(state) = self.endpoints.get_mut(&endpoint)
                 && age < CRASH_NEWS_AGE
             {
                 state.health.mark_suspect(now);
+                if self.guard.record_unreached(&endpoint, now) {
+                    self.check(&endpoint);
+                }
             }
         }
         let invalid = self.guard.receive(frame, now);
--- a/crates/cicadalock-core/src/quarantine/broken_attempts.rs
+++ b/crates/cicadalock-core/src/quarantine/broken_attempts.rs
@@ -8,6 +8,15 @@
 /// Time after a lost request within which its endpoint is found to have crashed, if it has.
 const RESOLVE_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the end of an answer within which a crash breaks the other connections.
+const CRASH_TIME: Duration = Duration::from_millis(20);
+
+/// Shortest time in which an endpoint that crashed is back.
+const RESTART_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which an endpoint that crashed counts as down unless it answers.
+const DOWN_TIME: Duration = Duration::from_secs(10);
+
 /// Shortest time between two checks of an endpoint.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -26,7 +35,8 @@
 pub(super) struct BrokenAttempts {
     attempts: SortedMap<EndpointId, Vec<BrokenAttempt>>,
     checks: SortedMap<EndpointId, ClockTime>,
-    crashes: SortedMap<EndpointId, ClockTime>,
+    /// Endpoints that have crashed and not answered since, with the time of the crash.
+    crashes: SortedMap<EndpointId, PastTime>,
 }
 
 impl BrokenAttempts {
@@ -49,39 +59,62 @@
         true
     }
 
-    /// Returns whether the endpoint was found to have crashed shortly before.
-    pub(super) fn has_crashed(&self, endpoint: &EndpointId) -> bool {
-        self.crashes.contains_key(endpoint)
+    /// Returns when the endpoint crashed, if it has not answered since.
+    pub(super) fn crash_time(&self, endpoint: &EndpointId) -> Option<PastTime> {
+        self.crashes.get(endpoint).copied()
     }
 
-    /// Records that the endpoint has crashed and removes its attempts.
-    pub(super) fn take_crashed(
-        &mut self,
-        endpoint: &EndpointId,
-        now: ClockTime,
-    ) -> Vec<BrokenAttempt> {
-        self.crashes.insert(endpoint.clone(), now);
-        self.attempts.remove(endpoint).unwrap_or_default()
+    /// Records an answer to a request that was sent at `started`.
+    pub(super) fn record_answer(&mut self, endpoint: &EndpointId, started: PastTime) {
+        if self
+            .crash_time(endpoint)
+            .is_some_and(|crashed| crashed < started)
+        {
+            self.crashes.remove(endpoint);
+        }
     }
 
-    /// Records that the endpoint answers; removes and returns its answers that look whole.
-    pub(super) fn take_answered(&mut self, endpoint: &EndpointId) -> Vec<BrokenAttempt> {
-        self.crashes.remove(endpoint);
+    /// Records that the endpoint has crashed; removes and returns the attempts that may have caused it.
+    ///
+    /// It crashed when the first incomplete answer ended, or else the last of those that look whole.
+    /// Attempts that were sent later found it down.
+    pub(super) fn take_crashed(&mut self, endpoint: &EndpointId) -> Vec<BrokenAttempt> {
         let mut attempts = self.attempts.remove(endpoint).unwrap_or_default();
-        attempts.retain(|attempt| attempt.begun.is_some());
+        let incomplete = attempts.iter().filter(|attempt| attempt.begun.is_none());
+        let first = incomplete.map(|attempt| attempt.ended).min();
+        let last = attempts.iter().map(|attempt| attempt.ended).max();
+        let Some(crashed) = first.or(last) else {
+            return Vec::new();
+        };
+        attempts.retain(|attempt| attempt.request.started < crashed);
+        self.crashes.insert(endpoint.clone(), crashed);
         attempts
     }
 
-    /// Returns the parts of an endpoint's answers that look whole and ended before `started`.
+    /// Records that the endpoint runs: it broke its attempts for another reason, or is back.
+    pub(super) fn forget(&mut self, endpoint: &EndpointId) {
+        self.crashes.remove(endpoint);
+        self.attempts.remove(endpoint);
+    }
+
+    /// Removes and returns the answers that look whole and that the endpoint has survived, as it sends an
+    /// answer now to a request sent at `started`.
     pub(super) fn take_survived(
         &mut self,
         endpoint: &EndpointId,
         started: PastTime,
+        now: ClockTime,
     ) -> Vec<BrokenAttempt> {
         let Some(attempts) = self.attempts.get_mut(endpoint) else {
             return Vec::new();
         };
-        let survived = |attempt: &BrokenAttempt| attempt.begun.is_some() && attempt.ended < started;
+        // Either on a connection from before the end, or before it can have started again.
+        let survived = |attempt: &BrokenAttempt| {
+            let age = attempt.ended.age(now);
+            attempt.begun.is_some()
+                && age > CRASH_TIME
+                && (started < attempt.ended || age < RESTART_TIME)
+        };
         let (taken, kept) = std::mem::take(attempts).into_iter().partition(survived);
         *attempts = kept;
         taken
@@ -93,7 +126,7 @@
             !attempts.is_empty()
         });
         self.crashes
-            .retain(|_, crashed| now.since(*crashed) < RESOLVE_TIME);
+            .retain(|_, crashed| crashed.age(now) < DOWN_TIME);
         self.checks
             .retain(|_, checked| now.since(*checked) < RESOLVE_TIME);
     }
--- a/crates/cicadalock-core/src/quarantine/evidence_board.rs
+++ b/crates/cicadalock-core/src/quarantine/evidence_board.rs
@@ -133,12 +133,14 @@
         frames
     }
 
-    /// Drops what is older than the lifetime of evidence.
-    pub fn expire(&mut self, now: ClockTime) {
+    /// Drops what is older than the lifetime of evidence; returns whether a report was.
+    pub fn expire(&mut self, now: ClockTime) -> bool {
+        let before = self.reports.len();
         self.reports
             .retain(|_, report| report.crashed_at.age(now) < EVIDENCE_LIFETIME);
         self.sound
             .retain(|_, begun| begun.age(now) < EVIDENCE_LIFETIME);
+        self.reports.len() < before
     }
 
     /// Returns whether the board holds no evidence.
--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -21,11 +21,20 @@
 /// Time after the last crash for which a part is refused without exception.
 const REFUSAL_TIME: Duration = Duration::from_secs(60);
 
-/// Interval at which one router then tries a request with the part.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(20);
+/// The same for a part on which answers survived before, which may have been in the crashes by chance;
+/// grows by the factor with each trial that failed, up to [`REFUSAL_TIME`].
+const SOUND_REFUSAL_TIME: Duration = Duration::from_secs(5);
+const REFUSAL_GROWTH: u32 = 4;
+
+/// Shortest time between two requests that a router lets through as trials.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Shortest time between two evaluations of the evidence.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after the last news for which the evidence is evaluated again and again: by then the first crash
+/// counts, and answers on sound parts have survived.
+const NEWS_TIME: Duration = Duration::from_millis(2_500);
 
 /// Number of times that each report is sent, each time to other desks.
 const SEND_ROUNDS: u32 = 3;
@@ -55,7 +64,8 @@
     changes: Vec<GuardChange>,
     /// Own evidence that has not been sent often enough.
     outgoing: Vec<(OwnEvidence, u32)>,
-    has_news: bool,
+    /// When evidence was last added.
+    news_at: ClockTime,
     judged_at: ClockTime,
     last_trial: ClockTime,
 }
@@ -91,10 +101,14 @@
         let Some(verdict) = self.refusing_part(service, prompt) else {
             return false;
         };
-        // The router that saw the last crash.
-        let is_trial = verdict.span.1.age(now) >= REFUSAL_TIME
-            && verdict.last_report.reporter == self.reporter
-            && now.since(self.last_trial) >= TRIAL_INTERVAL;
+        // The router that saw the last crash tries first; if it is gone, the one before, later.
+        let mut reporters = verdict.reporters.iter();
+        let Some(rank) = reporters.position(|reporter| *reporter == self.reporter) else {
+            return false;
+        };
+        let delay = refusal_time(verdict) * (rank as u32 + 1);
+        let is_trial =
+            verdict.span.1.age(now) >= delay && now.since(self.last_trial) >= TRIAL_INTERVAL;
         if is_trial {
             self.last_trial = now;
         }
@@ -146,14 +160,19 @@
     ) {
         for part in prompt.shared() {
             self.memory.record(service, part.id, begun.into(), now);
+            if !self.verdicts.is_empty() && self.verdicts.contains_key(&(service.clone(), part.id))
+            {
+                self.news_at = now;
+            }
         }
     }
 
-    /// Records that an answer began at `endpoint` for a request that was sent at `started`: answers
-    /// that ended there before did not crash it.
+    /// Records that `endpoint` sends an answer to a request that was sent at `started`: answers that
+    /// ended there before did not crash it.
     pub fn record_answer(&mut self, endpoint: &EndpointId, started: ClockTime, now: ClockTime) {
+        self.broken.record_answer(endpoint, started.into());
         if self.broken.has_any(endpoint) {
-            let survived = self.broken.take_survived(endpoint, started.into());
+            let survived = self.broken.take_survived(endpoint, started.into(), now);
             self.remember_survivors(survived, now);
         }
     }
@@ -187,35 +206,39 @@
             ended: now.into(),
             begun: begun.filter(|_| is_whole).map(PastTime::from),
         };
-        if self.broken.has_crashed(endpoint) {
-            self.report(endpoint, vec![attempt]);
+        if let Some(crashed) = self.broken.crash_time(endpoint) {
+            if attempt.request.started < crashed {
+                self.report(endpoint, vec![attempt], now);
+            }
             return false;
         }
         self.broken.push(endpoint, attempt);
         !is_whole && self.broken.begin_check(endpoint, now)
     }
 
-    /// Returns whether an endpoint that was not reached is to be checked.
+    /// Returns whether an endpoint is to be checked that was not reached or that another router saw
+    /// crash.
     pub fn record_unreached(&mut self, endpoint: &EndpointId, now: ClockTime) -> bool {
         self.broken.has_any(endpoint) && self.broken.begin_check(endpoint, now)
     }
 
     /// Records that an endpoint does not answer: it crashed on one of the attempts that it broke.
     pub fn record_crash(&mut self, endpoint: &EndpointId, now: ClockTime) {
-        let attempts = self.broken.take_crashed(endpoint, now);
-        self.report(endpoint, attempts);
+        let attempts = self.broken.take_crashed(endpoint);
+        self.report(endpoint, attempts, now);
     }
 
     /// Records that an endpoint answers, so that the attempts that it broke have another cause.
-    pub fn record_alive(&mut self, endpoint: &EndpointId, now: ClockTime) {
-        let survived = self.broken.take_answered(endpoint);
-        self.remember_survivors(survived, now);
+    pub fn record_alive(&mut self, endpoint: &EndpointId) {
+        self.broken.forget(endpoint);
     }
 
     /// Adds what another router reported; returns the number of entries that are not valid.
     pub fn receive(&mut self, frame: EvidenceFrame, now: ClockTime) -> usize {
         let (news, invalid) = self.board.merge(frame, now);
-        self.has_news |= !news.is_empty();
+        if !news.is_empty() {
+            self.news_at = now;
+        }
         invalid
     }
 
@@ -246,14 +269,12 @@
         if now.since(self.judged_at) < JUDGE_INTERVAL {
             return;
         }
-        let had_evidence = !self.board.is_empty();
         self.judged_at = now;
         self.broken.expire(now);
-        self.board.expire(now);
-        if !had_evidence && !self.has_news {
+        let has_expired = self.board.expire(now);
+        if now.since(self.news_at) > NEWS_TIME && !has_expired {
             return;
         }
-        self.has_news = false;
         self.share_sound_parts();
         let memory = &self.memory;
         let verdicts = self
@@ -301,12 +322,13 @@
             for part in attempt.parts() {
                 if let Some(begun) = attempt.begun {
                     self.memory.record(&attempt.service, part, begun, now);
+                    self.news_at = now;
                 }
             }
         }
     }
 
-    fn report(&mut self, endpoint: &EndpointId, attempts: Vec<BrokenAttempt>) {
+    fn report(&mut self, endpoint: &EndpointId, attempts: Vec<BrokenAttempt>, now: ClockTime) {
         let Some(first) = attempts.first() else {
             return;
         };
@@ -326,8 +348,17 @@
         );
         self.board.add_report(report.clone());
         self.outgoing.push((OwnEvidence::Crash(report), 0));
-        self.has_news = true;
+        self.news_at = now;
+    }
+}
+
+/// Returns the time after the last crash for which a part is refused without exception.
+fn refusal_time(verdict: &PartVerdict) -> Duration {
+    if !verdict.was_sound {
+        return REFUSAL_TIME;
     }
+    let growth = REFUSAL_GROWTH.saturating_pow(verdict.pauses.min(8));
+    (SOUND_REFUSAL_TIME * growth).min(REFUSAL_TIME)
 }
 
 fn guard_change(key: &(ServiceName, PartId), verdict: Option<PartVerdict>) -> GuardChange {
--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::crash_report::{CrashReport, ReportId, SuspectRequest};
+use super::crash_report::{CrashReport, SuspectRequest};
 use crate::collect::SortedMap;
 use crate::id::{EndpointId, PartId, ServiceName};
 use crate::time::{ClockTime, PastTime};
@@ -16,6 +16,9 @@
 /// have begun and survived again.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
+/// Least pause between crashes that can have ended with a trial of a refused part.
+const TRIAL_PAUSE: Duration = Duration::from_millis(4_500);
+
 /// Time within which several routers lose their requests at an endpoint in the same crash.
 const CRASH_SPREAD: Duration = Duration::from_millis(1_000);
 
@@ -26,12 +29,14 @@
     pub endpoints: usize,
     /// Number of crashes one after the other.
     pub crashes: usize,
-    /// Number of processes that reported them.
-    pub reporters: usize,
+    /// The processes that reported them, the one of the last crash first.
+    pub reporters: Vec<u64>,
     /// Time of the first and of the last of them.
     pub span: (PastTime, PastTime),
-    /// The report of the last crash.
-    pub last_report: ReportId,
+    /// Number of longer pauses between them; after the first verdict each one ended with a trial.
+    pub pauses: u32,
+    /// Whether an answer on the part survived before the crashes.
+    pub was_sound: bool,
     /// Other parts that crash endpoints as far as is known, as they were in the same requests each
     /// time. Only requests with all of them are refused.
     pub companions: Vec<PartId>,
@@ -43,22 +48,32 @@
 /// A part in a request that was at an endpoint when it crashed.
 #[derive(Debug, Clone, Copy)]
 struct PartSighting<'a> {
+    part: PartId,
     report: &'a CrashReport,
     request: &'a SuspectRequest,
 }
 
-type SightingTable<'a> = SortedMap<(&'a ServiceName, PartId), Vec<PartSighting<'a>>>;
+/// The sightings of one part, by time of the crash, without those that a later answer clears.
+#[derive(Debug)]
+struct SuspectPart<'a> {
+    service: &'a ServiceName,
+    part: PartId,
+    sightings: Vec<PartSighting<'a>>,
+    count: CrashCount,
+    was_sound: bool,
+}
 
 /// Returns the parts that crashes point at with their number, and the earliest request of the crashes.
 pub(super) fn count_crashes<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
     last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
 ) -> Vec<((ServiceName, PartId), usize, PastTime)> {
-    let sightings = find_sightings(reports, last_sound);
-    let counts = sightings.iter().filter_map(|((service, part), list)| {
-        let first = list.iter().map(|sighting| sighting.request.started).min()?;
-        let key = ((*service).clone(), *part);
-        Some((key, CrashCount::of(list).in_turn, first))
+    let suspects = find_suspects(reports, last_sound);
+    let counts = suspects.into_iter().filter_map(|suspect| {
+        let requests = suspect.sightings.iter();
+        let first = requests.map(|sighting| sighting.request.started).min()?;
+        let key = (suspect.service.clone(), suspect.part);
+        Some((key, suspect.count.in_turn, first))
     });
     counts.collect()
 }
@@ -73,17 +88,16 @@
     last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
     now: ClockTime,
 ) -> VerdictTable {
-    let sightings = find_sightings(reports, last_sound);
-    let highest = highest_counts(&sightings);
+    let mut suspects = find_suspects(reports, last_sound);
+    suspects.retain(|suspect| suspect.count.is_enough());
+    let highest = highest_counts(&suspects);
     let mut table = VerdictTable::new();
-    for (key, list) in sightings.iter() {
-        let own = CrashCount::of(list);
-        if !own.is_enough() {
-            continue;
-        }
+    for suspect in &suspects {
         // A crash is put down to the part with the most crashes among those involved.
-        let is_unexplained = |sighting: &&PartSighting<'_>| highest_at(&highest, sighting) <= own;
-        let list: Vec<_> = list.iter().filter(is_unexplained).copied().collect();
+        let is_unexplained =
+            |sighting: &&PartSighting<'_>| highest_at(&highest, sighting) <= suspect.count;
+        let list = suspect.sightings.iter().filter(is_unexplained);
+        let list: Vec<_> = list.copied().collect();
         let count = CrashCount::of(&list);
         let (Some(first), Some(last)) = (list.first(), list.last()) else {
             continue;
@@ -92,18 +106,20 @@
         if !count.is_enough() || span.0.age(now) < SETTLE_TIME {
             continue;
         }
-        let mut reporters: Vec<u64> = list.iter().map(|each| each.report.id.reporter).collect();
-        reporters.sort_unstable();
-        reporters.dedup();
+        let pauses = list.windows(2).filter(|pair| {
+            let pause = pair[1].report.crashed_at.since(pair[0].report.crashed_at);
+            pause >= TRIAL_PAUSE
+        });
         let verdict = PartVerdict {
             endpoints: count.endpoints,
             crashes: count.in_turn,
-            reporters: reporters.len(),
+            reporters: latest_reporters(&list),
             span,
-            last_report: last.report.id,
-            companions: constant_companions(&list, key.1),
+            pauses: pauses.count() as u32,
+            was_sound: suspect.was_sound,
+            companions: constant_companions(&list, suspect.part),
         };
-        table.insert((key.0.clone(), key.1), verdict);
+        table.insert((suspect.service.clone(), suspect.part), verdict);
     }
     let refused: Vec<(ServiceName, PartId)> = table.keys().cloned().collect();
     for ((service, _), verdict) in table.iter_mut() {
@@ -116,41 +132,84 @@
     table
 }
 
-/// Returns the suspects by part, by time of the crash, without those that a later answer clears.
-fn find_sightings<'a>(
+/// Returns the parts that were in at least two crashes, without those that a later answer clears.
+fn find_suspects<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
     last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
-) -> SightingTable<'a> {
-    let mut sightings = SightingTable::new();
-    for report in reports {
-        for request in &report.requests {
-            for part in &request.parts {
-                let last = last_sound(&report.service, *part);
-                if last.is_none_or(|last| last < request.started) {
-                    let list = sightings.get_or_insert_with((&report.service, *part), Vec::new);
-                    list.push(PartSighting { report, request });
-                }
-            }
+) -> Vec<SuspectPart<'a>> {
+    let mut all: Vec<PartSighting<'a>> = reports
+        .flat_map(|report| {
+            let requests = report.requests.iter();
+            requests.flat_map(move |request| {
+                let parts = request.parts.iter();
+                parts.map(move |part| PartSighting {
+                    part: *part,
+                    report,
+                    request,
+                })
+            })
+        })
+        .collect();
+    all.sort_unstable_by(|left, right| {
+        let by_part = left.part.cmp(&right.part);
+        let by_service = || left.report.service.cmp(&right.report.service);
+        let by_time = || left.report.crashed_at.cmp(&right.report.crashed_at);
+        by_part.then_with(by_service).then_with(by_time)
+    });
+    let mut suspects = Vec::new();
+    let is_same = |left: &PartSighting<'_>, right: &PartSighting<'_>| {
+        left.part == right.part && left.report.service == right.report.service
+    };
+    for group in all.chunk_by(is_same).filter(|group| group.len() > 1) {
+        let (service, part) = (&group[0].report.service, group[0].part);
+        let last = last_sound(service, part);
+        let is_open =
+            |sighting: &&PartSighting<'a>| last.is_none_or(|last| last < sighting.request.started);
+        let sightings: Vec<_> = group.iter().filter(is_open).copied().collect();
+        if sightings.len() > 1 {
+            suspects.push(SuspectPart {
+                service,
+                part,
+                count: CrashCount::of(&sightings),
+                was_sound: last.is_some(),
+                sightings,
+            });
         }
     }
-    for list in sightings.values_mut() {
-        list.sort_by_key(|sighting| sighting.report.crashed_at);
+    suspects
+}
+
+/// Returns the processes that reported crashes, the one of the last crash first.
+fn latest_reporters(sightings: &[PartSighting<'_>]) -> Vec<u64> {
+    let mut reporters = Vec::new();
+    for sighting in sightings.iter().rev() {
+        let reporter = sighting.report.id.reporter;
+        if !reporters.contains(&reporter) {
+            reporters.push(reporter);
+        }
     }
-    sightings
+    reporters
 }
 
 /// Returns the greatest number of crashes, by time of the crash, such that the request of each was
 /// sent after the crash before.
 fn count_in_turn(sightings: &[PartSighting<'_>]) -> usize {
-    let mut count = 0;
-    let mut last_crash = None;
+    let mut counted: Vec<&CrashReport> = Vec::new();
     for sighting in sightings {
-        if last_crash.is_none_or(|last| sighting.request.started >= last) {
-            count += 1;
-            last_crash = Some(sighting.report.crashed_at);
+        let report = sighting.report;
+        let is_in_turn = counted
+            .last()
+            .is_none_or(|last| sighting.request.started >= last.crashed_at);
+        // An endpoint is not back within a second; its later crash is the same as another router saw it.
+        let is_new = counted.iter().rev().all(|other| {
+            other.endpoint != report.endpoint
+                || report.crashed_at.since(other.crashed_at) > CRASH_SPREAD
+        });
+        if is_in_turn && is_new {
+            counted.push(report);
         }
     }
-    count
+    counted.len()
 }
 
 /// Crashes that a part may have caused, in the order of how much they say.
@@ -183,17 +242,13 @@
 
 type CrashCounts<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, CrashCount)>>;
 
-/// Returns for each report of a crash the highest count among the parts in it.
-fn highest_counts<'a>(sightings: &SightingTable<'a>) -> CrashCounts<'a> {
+/// Returns for each crash the counts of the parts in it.
+fn highest_counts<'a>(suspects: &[SuspectPart<'a>]) -> CrashCounts<'a> {
     let mut counts = CrashCounts::new();
-    for list in sightings.values() {
-        let count = CrashCount::of(list);
-        if !count.is_enough() {
-            continue;
-        }
-        for sighting in list {
+    for suspect in suspects {
+        for sighting in &suspect.sightings {
             let crashes = counts.get_or_insert_with(&sighting.report.endpoint, Vec::new);
-            crashes.push((sighting.report.crashed_at, count));
+            crashes.push((sighting.report.crashed_at, suspect.count));
         }
     }
     counts
--- a/crates/cicadalock-node/src/gateway/crash_check.rs
+++ b/crates/cicadalock-node/src/gateway/crash_check.rs
@@ -69,9 +69,10 @@
                 "part": labels.part,
                 "crashes": verdict.crashes,
                 "endpoints": verdict.endpoints,
-                "reporters": verdict.reporters,
+                "reporters": verdict.reporters.len(),
                 "first_ms": age_millis(verdict.span.0.age(now)),
                 "last_ms": age_millis(verdict.span.1.age(now)),
+                "was_sound": verdict.was_sound,
                 "only_with": companions.collect::<Vec<String>>(),
             }),
         );
