--- a/crates/cicadalock-core/src/quarantine/evidence_board.rs
+++ b/crates/cicadalock-core/src/quarantine/evidence_board.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 
 use super::crash_report::{CrashReport, ReportId, SoundPart};
-use super::part_verdict::{VerdictTable, judge};
+use super::part_verdict::{NearVerdict, VerdictTable, judge};
 use crate::collect::SortedMap;
 use crate::id::{PartId, ServiceName};
 use crate::message::EvidenceFrame;
@@ -13,7 +13,7 @@
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(180);
 
 /// Largest number of reports; the oldest crash is dropped first.
-const MAX_REPORTS: usize = 512;
+const MAX_REPORTS: usize = 256;
 
 /// Largest number of parts of which sound answers are held; the oldest is dropped first.
 const MAX_SOUND_PARTS: usize = 1_024;
@@ -168,16 +168,22 @@
 
     /// Returns the parts that crash endpoints.
     ///
-    /// `last_sound` returns when the latest answer on a part began that is not on the board.
+    /// `own_sound` returns when the latest answer on a part began that is not on the board.
     pub fn judge(
         &self,
         now: ClockTime,
-        last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+        own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
     ) -> VerdictTable {
-        let last = |service: &ServiceName, part| {
-            let known = self.last_sound(service, part);
-            known.max(last_sound(service, part))
-        };
-        judge(self.reports.values(), last, now)
+        self.judge_all(now, own_sound).0
+    }
+
+    /// Like [`Self::judge`], and returns the parts that are close to being refused as well.
+    pub(super) fn judge_all(
+        &self,
+        now: ClockTime,
+        own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+    ) -> (VerdictTable, Vec<NearVerdict>) {
+        let shared = |service: &ServiceName, part| self.last_sound(service, part);
+        judge(self.reports.values(), shared, own_sound, now)
     }
 }
--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -3,7 +3,7 @@
 use super::broken_attempts::{BrokenAttempt, BrokenAttempts};
 use super::crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
 use super::evidence_board::EvidenceBoard;
-use super::part_verdict::{CRASH_LIMIT, PartVerdict, VerdictTable, count_crashes};
+use super::part_verdict::{NearVerdict, PartVerdict, VerdictTable};
 use super::sound_memory::SoundMemory;
 use crate::id::{EndpointId, PartId, ServiceName};
 use crate::message::EvidenceFrame;
@@ -30,7 +30,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Shortest time between two evaluations of the evidence.
-const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
+const JUDGE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after the last news for which the evidence is evaluated again and again: by then the first crash
 /// counts, and answers on sound parts have survived.
@@ -275,11 +275,11 @@
         if now.since(self.news_at) > NEWS_TIME && !has_expired {
             return;
         }
-        self.share_sound_parts();
         let memory = &self.memory;
-        let verdicts = self
+        let (verdicts, near) = self
             .board
-            .judge(now, |service, part| memory.last(service, part));
+            .judge_all(now, |service, part| memory.last(service, part));
+        self.share_sound_parts(near);
         for (key, verdict) in verdicts.iter() {
             if !self.verdicts.contains_key(key) {
                 self.changes.push(guard_change(key, Some(verdict.clone())));
@@ -294,23 +294,22 @@
     }
 
     /// Tells the other routers of sound answers on parts that are close to being refused.
-    fn share_sound_parts(&mut self) {
-        let board = &self.board;
-        let known = |service: &ServiceName, part| board.last_sound(service, part);
-        let mut shared: Vec<SoundPart> = Vec::new();
-        for ((service, part), crashes, first) in count_crashes(board.reports(), known) {
+    fn share_sound_parts(&mut self, near: Vec<NearVerdict>) {
+        for NearVerdict {
+            service,
+            part,
+            started,
+        } in near
+        {
             let own = self.memory.last(&service, part);
-            if let Some(begun) = own.filter(|own| *own >= first)
-                && crashes + 1 >= CRASH_LIMIT
-            {
-                shared.push(SoundPart {
-                    service,
-                    part,
-                    begun,
-                });
-            }
-        }
-        for sound in shared {
+            let Some(begun) = own.filter(|own| *own >= started) else {
+                continue;
+            };
+            let sound = SoundPart {
+                service,
+                part,
+                begun,
+            };
             if self.board.add_sound(sound.clone()) {
                 self.outgoing.push((OwnEvidence::Sound(sound), 0));
             }
--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -6,7 +6,7 @@
 use crate::time::{ClockTime, PastTime};
 
 /// Crashes one after the other, each begun by a request with the part, after which it is refused.
-pub(super) const CRASH_LIMIT: usize = 3;
+const CRASH_LIMIT: usize = 3;
 
 /// Crashed endpoints after which two crashes one after the other are enough: prompts that are read for
 /// long crash several endpoints before the first crash is known.
@@ -63,32 +63,46 @@
     was_sound: bool,
 }
 
-/// Returns the parts that crashes point at with their number, and the earliest request of the crashes.
-pub(super) fn count_crashes<'a>(
-    reports: impl Iterator<Item = &'a CrashReport>,
-    last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
-) -> Vec<((ServiceName, PartId), usize, PastTime)> {
-    let suspects = find_suspects(reports, last_sound);
-    let counts = suspects.into_iter().filter_map(|suspect| {
-        let requests = suspect.sightings.iter();
-        let first = requests.map(|sighting| sighting.request.started).min()?;
-        let key = (suspect.service.clone(), suspect.part);
-        Some((key, suspect.count.in_turn, first))
-    });
-    counts.collect()
+/// A part that is close to being refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct NearVerdict {
+    pub(super) service: ServiceName,
+    pub(super) part: PartId,
+    /// When the first request of its crashes was sent.
+    pub(super) started: PastTime,
 }
 
-/// Derives the verdicts from reports.
+/// Derives the verdicts from reports, and the parts that are close to one.
 ///
 /// Counts crashes that began one after the other: endpoints that crash together count as one crash
 /// for all parts in use there. An answer on a part that began later and survived clears it of the
-/// crashes before.
+/// crashes before: all routers know what `shared_sound` returns, and this one also `own_sound`.
 pub(super) fn judge<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
-    last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+    shared_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+    own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
     now: ClockTime,
-) -> VerdictTable {
-    let mut suspects = find_suspects(reports, last_sound);
+) -> (VerdictTable, Vec<NearVerdict>) {
+    let mut suspects = find_suspects(reports, shared_sound);
+    suspects.retain(|suspect| suspect.count.in_turn + 1 >= CRASH_LIMIT);
+    let near = suspects.iter().filter_map(|suspect| {
+        let requests = suspect.sightings.iter();
+        Some(NearVerdict {
+            service: suspect.service.clone(),
+            part: suspect.part,
+            started: requests.map(|sighting| sighting.request.started).min()?,
+        })
+    });
+    let near = near.collect();
+    for suspect in &mut suspects {
+        if let Some(last) = own_sound(suspect.service, suspect.part) {
+            suspect
+                .sightings
+                .retain(|sighting| last < sighting.request.started);
+            suspect.count = CrashCount::of(&suspect.sightings);
+            suspect.was_sound = true;
+        }
+    }
     suspects.retain(|suspect| suspect.count.is_enough());
     let highest = highest_counts(&suspects);
     let mut table = VerdictTable::new();
@@ -129,7 +143,7 @@
                 .is_ok()
         });
     }
-    table
+    (table, near)
 }
 
 /// Returns the parts that were in at least two crashes, without those that a later answer clears.
@@ -201,11 +215,10 @@
             .last()
             .is_none_or(|last| sighting.request.started >= last.crashed_at);
         // An endpoint is not back within a second; its later crash is the same as another router saw it.
-        let is_new = counted.iter().rev().all(|other| {
-            other.endpoint != report.endpoint
-                || report.crashed_at.since(other.crashed_at) > CRASH_SPREAD
-        });
-        if is_in_turn && is_new {
+        let is_recent =
+            |other: &&&CrashReport| report.crashed_at.since(other.crashed_at) <= CRASH_SPREAD;
+        let mut recent = counted.iter().rev().take_while(is_recent);
+        if is_in_turn && recent.all(|other| other.endpoint != report.endpoint) {
             counted.push(report);
         }
     }
@@ -227,6 +240,8 @@
             .iter()
             .map(|sighting| &sighting.report.endpoint)
             .collect();
+        // The requests of one report stand together.
+        endpoints.dedup();
         endpoints.sort_unstable();
         endpoints.dedup();
         Self {
--- a/crates/trial/src/capacity/mod.rs
+++ b/crates/trial/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 //! `waiting` measure the cost of processes. `docs/slopes.json` holds both; [`capacity_table`]
 //! computes the table of `docs/CAPACITY.md` from it.
 
+mod shared_knowledge;
 mod slopes;
 mod table;
 
--- a/crates/trial/src/capacity/slopes.rs
+++ b/crates/trial/src/capacity/slopes.rs
@@ -12,6 +12,8 @@
 use prost::Message;
 use serde::{Deserialize, Serialize};
 
+use super::shared_knowledge::measure_shared_knowledge;
+
 /// Number of repetitions of a measurement; the minimum, median and maximum are reported.
 const REPEATS: usize = 7;
 
@@ -33,6 +35,7 @@
     let mut slopes = Vec::new();
     // Memory is measured first: an allocation that reuses freed memory would not show in the
     // resident size.
+    measure_shared_knowledge(&mut slopes);
     measure_ledger(&mut slopes);
     for customers in [7_200, 720, 15] {
         measure_config(customers, &mut slopes);
@@ -249,7 +252,12 @@
     ));
 }
 
-fn repeated(part: &str, size: &[u64], unit: &str, mut measure: impl FnMut() -> f64) -> PartSlopes {
+pub(super) fn repeated(
+    part: &str,
+    size: &[u64],
+    unit: &str,
+    mut measure: impl FnMut() -> f64,
+) -> PartSlopes {
     let mut values: Vec<f64> = (0..REPEATS).map(|_| measure()).collect();
     values.sort_by(f64::total_cmp);
     PartSlopes {
@@ -260,7 +268,7 @@
     }
 }
 
-fn single_value(part: &str, size: &[u64], value: f64, unit: &str) -> PartSlopes {
+pub(super) fn single_value(part: &str, size: &[u64], value: f64, unit: &str) -> PartSlopes {
     PartSlopes {
         part: part.into(),
         size: size.to_vec(),
@@ -270,7 +278,7 @@
 }
 
 /// Returns the resident memory of this process, in bytes, or 0 if it cannot be read.
-fn resident_bytes() -> f64 {
+pub(super) fn resident_bytes() -> f64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages: f64 = text
         .split_whitespace()
--- a/crates/trial/src/capacity/table.rs
+++ b/crates/trial/src/capacity/table.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PartSlopes;
+use super::shared_knowledge::add_knowledge_rows;
 
 /// Sizes, rates and protocol parameters of the fleet for which the table is computed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -88,13 +89,13 @@
 }
 
 /// The users' limits on the cost of control at one node.
-const CORE_LIMIT_PERCENT: f64 = 1.2;
-const MEMORY_LIMIT_MIB: f64 = 128.0;
-const BYTES_LIMIT_PER_S: f64 = 3_000.0;
+pub(super) const CORE_LIMIT_PERCENT: f64 = 1.2;
+pub(super) const MEMORY_LIMIT_MIB: f64 = 128.0;
+pub(super) const BYTES_LIMIT_PER_S: f64 = 3_000.0;
 const READS_LIMIT_PER_S: f64 = 2_000.0;
 
-const MIB: f64 = 1024.0 * 1024.0;
-const DAY_SECONDS: f64 = 86_400.0;
+pub(super) const MIB: f64 = 1024.0 * 1024.0;
+pub(super) const DAY_SECONDS: f64 = 86_400.0;
 
 /// Time for which a watch waits, and interval between reads of a process that does not watch, in
 /// seconds.
@@ -112,7 +113,7 @@
 
 impl Slopes {
     /// Returns the median of a part's measurement at a size, or NaN if it is absent.
-    fn part(&self, name: &str, size: &[u64]) -> f64 {
+    pub(super) fn part(&self, name: &str, size: &[u64]) -> f64 {
         let found = self
             .parts
             .iter()
@@ -155,6 +156,7 @@
     add_router_rows(slopes, size, &mut table);
     add_sidecar_rows(slopes, size, &mut table);
     add_document_rows(slopes, size, &mut table);
+    add_knowledge_rows(slopes, size, &mut table);
     table.text
 }
 
@@ -171,7 +173,7 @@
 }
 
 /// Builds the Markdown text of the table.
-struct TableWriter {
+pub(super) struct TableWriter {
     text: String,
 }
 
@@ -187,7 +189,7 @@
         }
     }
 
-    fn row(
+    pub(super) fn row(
         &mut self,
         role: &str,
         quantity: &str,
@@ -212,7 +214,7 @@
     }
 }
 
-const NO_LIMIT: f64 = f64::INFINITY;
+pub(super) const NO_LIMIT: f64 = f64::INFINITY;
 
 fn add_router_rows(slopes: &Slopes, size: &FleetSize, table: &mut TableWriter) {
     let requests = size.requests / size.routers;
