fix(core): reports that a host reads together after a pause do not count as crashes in turn

Cause: reports tell how long ago a crash was; a router that stood still, or whose links were held, reads several together, so that they seem to be of the same moment, and as it had reported none itself it never tried the part. Now crashes count in turn only 100 ms apart, and a router without reports tries a part that was sound before, after those that have some. Both tests in core/tests/quarantine.rs failed before. Still open: such reports seem later than they were, by as long as they waited; later answers of other routers may then not clear a part.

--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -102,8 +102,11 @@
             return false;
         };
         // The router that saw the last crash tries first; if it is gone, the one before, later.
+        // Those that saw none try only what was sound before.
         let mut reporters = verdict.reporters.iter();
-        let Some(rank) = reporters.position(|reporter| *reporter == self.reporter) else {
+        let last = verdict.was_sound.then_some(verdict.reporters.len());
+        let rank = reporters.position(|reporter| *reporter == self.reporter);
+        let Some(rank) = rank.or(last) else {
             return false;
         };
         let delay = refusal_time(verdict) * (rank as u32 + 1);
--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -19,6 +19,10 @@
 /// Least pause between crashes that can have ended with a trial of a refused part.
 const TRIAL_PAUSE: Duration = Duration::from_millis(4_500);
 
+/// Least time between two crashes one after the other. Reports that a host reads together after it stood
+/// still seem to be of the same moment.
+const CRASH_GAP: Duration = Duration::from_millis(100);
+
 /// Time within which several routers lose their requests at an endpoint in the same crash.
 const CRASH_SPREAD: Duration = Duration::from_millis(1_000);
 
@@ -211,9 +215,10 @@
     let mut counted: Vec<&CrashReport> = Vec::new();
     for sighting in sightings {
         let report = sighting.report;
-        let is_in_turn = counted
-            .last()
-            .is_none_or(|last| sighting.request.started >= last.crashed_at);
+        let is_in_turn = counted.last().is_none_or(|last| {
+            sighting.request.started >= last.crashed_at
+                && report.crashed_at.since(last.crashed_at) >= CRASH_GAP
+        });
         // An endpoint is not back within a second; its later crash is the same as another router saw it.
         let is_recent =
             |other: &&&CrashReport| report.crashed_at.since(other.crashed_at) <= CRASH_SPREAD;
--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -219,6 +219,30 @@
     assert!(judge(&board, 5_000).is_empty());
 }
 
+#[test]
+fn reports_that_arrive_together_after_a_pause_of_the_host_count_as_one_crash() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..8 {
+        let crashed = 1_000 + u64::from(number) * 2;
+        board.add_report(crash(number, crashed, &[(crashed - 1, &[COMMON])]));
+    }
+    assert!(judge(&board, 5_000).is_empty());
+}
+
+#[test]
+fn a_router_without_reports_tries_a_part_that_was_sound_before() {
+    let mut board = board_in_turn(3, &[BAD]);
+    board.add_sound(SoundPart {
+        begun: PastTime::from_age(at(0), Duration::from_secs(1)),
+        ..sound(BAD, 0)
+    });
+    let mut bystander = guard_with(&board, 2_600);
+    bystander.set_reporter(99);
+    let bad = prompt(&[BAD]);
+    assert!(!bystander.begin_trial(&service(), &bad, at(20_000)));
+    assert!(bystander.begin_trial(&service(), &bad, at(22_000)));
+}
+
 #[test]
 fn crashes_of_one_endpoint_in_the_same_second_count_once() {
     let mut board = EvidenceBoard::default();
