fix(core): many routers with small shares of a limit keep to it together

Suspected, from the arithmetic of shares, not seen: an endpoint without a desk, such as an application endpoint of the grown deployments, that names 2 a second gets up to 25 requests at once from 25 routers, each of which has saved up one, and 0.25 a second from each at a limit of zero; allowed are 17 and 5 in 4 s. The least rate now holds for all routers together, and a share of less than two a second lapses after half a second in which no request uses it and comes again in turn; the desk that shares out the limit spreads the turns of the routers evenly.

--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -4,6 +4,7 @@
 use super::endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 use super::endpoint_gate::GateLimits;
 use super::limit_broker::LimitBroker;
+use super::rate_limiter::fleet_rate;
 use super::request_rate::RequestRate;
 use super::wait_forecast::WaitForecast;
 use crate::collect::SortedMap;
@@ -263,7 +264,8 @@
             return;
         }
         self.limit = (limit, Some(named_at));
-        self.desk.gate_mut().set_rate_limit(limit, now);
+        let rate = limit.map(fleet_rate);
+        self.desk.gate_mut().set_rate_limit(rate, now);
     }
 
     /// Shares out the limit of an endpoint without a desk.
--- a/crates/cicadalock-core/src/desk/endpoint_gate.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_gate.rs
@@ -151,11 +151,20 @@
 
     /// Sets the rate of requests that the endpoint takes; `None` ends the limit.
     pub fn set_rate_limit(&mut self, rate: Option<RequestRate>, now: ClockTime) {
-        match (&mut self.limiter, rate) {
-            (Some(limiter), Some(rate)) => limiter.set_rate(rate, now),
-            (None, Some(rate)) => self.limiter = Some(RateLimiter::new(rate, now)),
-            (_, None) => self.limiter = None,
-        }
+        let limiter = self.limiter;
+        self.limiter = rate.map(|rate| match limiter {
+            Some(limiter) => limiter.with_rate(rate, now),
+            None => RateLimiter::new(rate, now),
+        });
+    }
+
+    /// Like [`Self::set_rate_limit`], with this router's share of the rate and its phase, from 0 to 1.
+    pub fn set_rate_share(&mut self, share: Option<RequestRate>, phase: f64, now: ClockTime) {
+        let limiter = self.limiter;
+        self.limiter = share.map(|share| match limiter {
+            Some(limiter) => limiter.with_rate(share, now),
+            None => RateLimiter::of_share(share, phase, now),
+        });
     }
 
     /// Returns the time until `count` more requests may have started at the endpoint's rate.
--- a/crates/cicadalock-core/src/desk/limit_broker.rs
+++ b/crates/cicadalock-core/src/desk/limit_broker.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::rate_limiter::fleet_rate;
 use super::request_rate::RequestRate;
 use crate::collect::SortedMap;
 use crate::id::{EndpointId, LinkId};
@@ -80,8 +81,9 @@
         }
         let limit = shared.limit;
         let shares = shared.changed_shares(link, has_changed);
-        let frames = shares.into_iter().map(|(router, share)| {
+        let frames = shares.into_iter().map(|(router, share, phase)| {
             let frame = ShareFrame {
+                phase,
                 endpoint: frame.endpoint.clone(),
                 limit: limit.map(RequestRate::get),
                 share,
@@ -131,15 +133,16 @@
         has_changed
     }
 
-    /// Returns the share of the reporting router, and of the others whose share changed.
-    fn changed_shares(&mut self, reporting: LinkId, is_for_all: bool) -> Vec<(LinkId, f64)> {
-        let limit = self.limit.map_or(0.0, RequestRate::get);
+    /// Returns share and phase of the reporting router, and of the others whose share changed.
+    fn changed_shares(&mut self, reporting: LinkId, is_for_all: bool) -> Vec<(LinkId, f64, f64)> {
+        let limit = self.limit.map_or(0.0, |limit| fleet_rate(limit).get());
         let total: f64 = self.demands.values().map(|demand| demand.demand).sum();
         let idle = (total / self.demands.len() as f64 * IDLE_FRACTION).max(f64::MIN_POSITIVE);
         let weight = |demand: &RouterDemand| demand.demand.max(idle);
         let whole: f64 = self.demands.values().map(weight).sum();
         let mut shares = Vec::new();
-        for (link, demand) in self.demands.iter_mut() {
+        let count = self.demands.len() as f64;
+        for (index, (link, demand)) in self.demands.iter_mut().enumerate() {
             let share = limit * demand.demand.max(idle) / whole;
             let change = (share - demand.share_sent).abs();
             let is_due = *link == reporting
@@ -147,7 +150,7 @@
                 || change > demand.share_sent.max(share) * SHARE_TOLERANCE;
             if is_due {
                 demand.share_sent = share;
-                shares.push((*link, share));
+                shares.push((*link, share, index as f64 / count));
             }
         }
         shares
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) use endpoint_gate::DEFAULT_PAUSE;
 pub use endpoint_gate::{EndpointGate, GateLimits, RequestDemand};
 pub use limit_broker::LimitBroker;
-pub use rate_limiter::RateLimiter;
+pub use rate_limiter::{RateLimiter, fleet_rate};
 pub use request_rate::{RateError, RequestRate};
 pub use wait_forecast::WaitForecast;
 pub use wait_queue::WaitQueue;
--- a/crates/cicadalock-core/src/gateway/endpoint_limits.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_limits.rs
@@ -1,7 +1,7 @@
 use super::action::GatewayAction;
 use super::endpoint_state::EndpointState;
 use super::machine::GatewayMachine;
-use crate::desk::RequestRate;
+use crate::desk::{RequestRate, fleet_rate};
 use crate::id::EndpointId;
 use crate::message::{DemandFrame, DeskMessage, LimitFrame, ShareFrame};
 use crate::place::rendezvous_score;
@@ -16,6 +16,8 @@
     pub(super) named_at: PastTime,
     /// This router's share, as long as no desk of the endpoint decides.
     pub(super) share: Option<RequestRate>,
+    /// From 0 to 1, differs between routers: when a small share comes.
+    pub(super) phase: f64,
 }
 
 impl GatewayMachine {
@@ -30,6 +32,7 @@
         sent: ClockTime,
         now: ClockTime,
     ) -> Option<Option<RequestRate>> {
+        let own_phase = self.guard.phase();
         let state = self.endpoints.get_mut(endpoint)?;
         let before = state.limit.and_then(|limit| limit.rate);
         // Only a request that was sent after the limit was named can tell that it has ended.
@@ -43,6 +46,7 @@
             rate,
             named_at: now.into(),
             share: state.limit.and_then(|limit| limit.share),
+            phase: state.limit.map_or(own_phase, |limit| limit.phase),
         });
         if !has_changed {
             return None;
@@ -59,6 +63,7 @@
         rate: Option<RequestRate>,
         now: ClockTime,
     ) {
+        let own_phase = self.guard.phase();
         let Some(state) = self.endpoints.get_mut(endpoint) else {
             return;
         };
@@ -69,6 +74,7 @@
             rate,
             named_at: now.into(),
             share: None,
+            phase: own_phase,
         });
         self.apply_limit(endpoint, now);
     }
@@ -89,6 +95,7 @@
             rate,
             named_at: known.map_or_else(|| now.into(), |limit| limit.named_at),
             share: Some(RequestRate::per_second(frame.share)),
+            phase: frame.phase.clamp(0.0, 1.0),
         });
         self.apply_limit(&endpoint, now);
         if is_news && rate.is_some() {
@@ -108,9 +115,10 @@
         let Some(limit) = state.limit else {
             return;
         };
-        let even = |rate: RequestRate| RequestRate::per_second(rate.get() / routers as f64);
+        let even = |rate| RequestRate::per_second(fleet_rate(rate).get() / f64::from(routers));
         let share = limit.rate.map(|rate| limit.share.unwrap_or(even(rate)));
-        state.desk.gate_mut().set_rate_limit(share, now);
+        let gate = state.desk.gate_mut();
+        gate.set_rate_share(share, limit.phase, now);
     }
 
     /// Tells the desk that decides about the endpoint what is known of its limit.
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -229,6 +229,9 @@
     /// The router's share of the limit, in requests per second.
     #[prost(double, tag = "3")]
     pub share: f64,
+    /// From 0 to 1, differs between routers: when a small share comes.
+    #[prost(double, tag = "4")]
+    pub phase: f64,
 }
 
 /// Evidence of parts of prompts that crash endpoints, and of parts that do not.
--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/part_guard.rs
@@ -82,6 +82,12 @@
         self.reporter = reporter;
     }
 
+    /// Returns a number from 0 to 1 that differs between processes.
+    #[must_use]
+    pub const fn phase(&self) -> f64 {
+        self.reporter as f64 / u64::MAX as f64
+    }
+
     /// Returns whether a request is to be refused because of a part of its prompt.
     #[must_use]
     pub fn refuses(&self, service: &ServiceName, prompt: &PromptShape) -> bool {
--- a/crates/trial/src/capacity/shared_knowledge.rs
+++ b/crates/trial/src/capacity/shared_knowledge.rs
@@ -118,6 +118,7 @@
         endpoint,
         limit: Some(10.9),
         share: 2.2,
+        phase: 0.4,
     });
     let bytes = encoded(demand) + encoded(share);
     slopes.push(single_value("demand and share", &[1], bytes, "bytes"));
