fix(core): of parts in the same crashes, the one that was never answered is refused

Now a crash is put down, of parts with as many crashes, to one on which no answer is known. The new test in core/tests/quarantine.rs failed before.

--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/part_verdict.rs
@@ -108,12 +108,13 @@
         }
     }
     suspects.retain(|suspect| suspect.count.is_enough());
-    let highest = highest_counts(&suspects);
+    let ranks = crash_ranks(&suspects);
     let mut table = VerdictTable::new();
     for suspect in &suspects {
-        // A crash is put down to the part with the most crashes among those involved.
+        // A crash is put down to the part with the most crashes among those involved, of several to one
+        // that was never answered.
         let is_unexplained =
-            |sighting: &&PartSighting<'_>| highest_at(&highest, sighting) <= suspect.count;
+            |sighting: &&PartSighting<'_>| highest_at(&ranks, sighting) <= suspect.rank();
         let list = suspect.sightings.iter().filter(is_unexplained);
         let list: Vec<_> = list.copied().collect();
         let count = CrashCount::of(&list);
@@ -260,29 +261,38 @@
     }
 }
 
-type CrashCounts<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, CrashCount)>>;
+/// How likely a part is the cause of a crash: its crashes, and whether it was never answered.
+type SuspectRank = (CrashCount, bool);
 
-/// Returns for each crash the counts of the parts in it.
-fn highest_counts<'a>(suspects: &[SuspectPart<'a>]) -> CrashCounts<'a> {
-    let mut counts = CrashCounts::new();
+impl SuspectPart<'_> {
+    const fn rank(&self) -> SuspectRank {
+        (self.count, !self.was_sound)
+    }
+}
+
+type CrashRanks<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, SuspectRank)>>;
+
+/// Returns for each crash the ranks of the parts in it.
+fn crash_ranks<'a>(suspects: &[SuspectPart<'a>]) -> CrashRanks<'a> {
+    let mut ranks = CrashRanks::new();
     for suspect in suspects {
         for sighting in &suspect.sightings {
-            let crashes = counts.get_or_insert_with(&sighting.report.endpoint, Vec::new);
-            crashes.push((sighting.report.crashed_at, suspect.count));
+            let crashes = ranks.get_or_insert_with(&sighting.report.endpoint, Vec::new);
+            crashes.push((sighting.report.crashed_at, suspect.rank()));
         }
     }
-    counts
+    ranks
 }
 
-/// Returns the highest count among the parts in a crash, as all routers reported it.
-fn highest_at(counts: &CrashCounts<'_>, sighting: &PartSighting<'_>) -> CrashCount {
+/// Returns the highest rank among the parts in a crash, as all routers reported it.
+fn highest_at(ranks: &CrashRanks<'_>, sighting: &PartSighting<'_>) -> SuspectRank {
     let crashed_at = sighting.report.crashed_at;
-    let crashes = counts.get(&&sighting.report.endpoint);
+    let crashes = ranks.get(&&sighting.report.endpoint);
     let same = crashes.into_iter().flatten().filter(|(at, _)| {
         let apart = at.since(crashed_at).max(crashed_at.since(*at));
         apart <= CRASH_SPREAD
     });
-    same.map(|(_, count)| *count).max().unwrap_or_default()
+    same.map(|(_, rank)| *rank).max().unwrap_or_default()
 }
 
 /// Returns the parts that share a request with `part` in each of its crashes.
--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -200,6 +200,21 @@
     assert_eq!(refused(&judge(&board, 4_000)), [BAD]);
 }
 
+#[test]
+fn of_two_parts_in_the_same_crashes_the_one_that_was_never_answered_is_refused() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..3 {
+        let crashed = u64::from(number) * 500;
+        let requests = [(crashed, &[COMMON, BAD][..]), (crashed, &[COMMON])];
+        board.add_report(crash(number, crashed + 50, &requests));
+    }
+    board.add_sound(SoundPart {
+        begun: PastTime::from_age(at(0), Duration::from_secs(1)),
+        ..sound(COMMON, 0)
+    });
+    assert_eq!(refused(&judge(&board, 4_000)), [BAD]);
+}
+
 #[test]
 fn of_parts_that_were_in_the_same_requests_each_time_only_all_together_are_refused() {
     let guard = guard_with(&board_in_turn(4, &[7, BAD]), 4_000);
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -256,6 +256,7 @@
     seed_1 = { 1 },
     requests_sent_to_a_crashed_endpoint_counted_as_crashes = { 62_005 },
     reports_read_together_counted_as_crashes_in_turn = { 72_006 },
+    a_sound_part_refused_beside_a_crashing_one = { 81_008 },
 )]
 fn a_short_soak_violates_no_guarantee(seed: u64) {
     let folder = tempfile::tempdir().expect("create a temporary folder");
