fix(test): a process about to start no longer holds the ports of another

Cause: the tests try a port by listening on it; a process that another thread starts at that moment holds a copy of the socket until its program runs, so that the router finds the port in use. Ports are now tried, and processes started, one at a time. No product code changes.

--- a/crates/trial/src/fleet/builder.rs
+++ b/crates/trial/src/fleet/builder.rs
@@ -9,6 +9,7 @@
 use super::client::put_text;
 use super::running::{EndpointHandle, RouterHandle, RunningFleet, SidecarHandle};
 use crate::proxy::FaultProxy;
+use crate::shared_state::{SPAWN_LOCK, lock};
 
 /// Timeout for the platform to answer, and then for the fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -280,6 +281,7 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let span = u32::from(LAST_PORT - FIRST_PORT);
     let start = std::process::id().wrapping_mul(211);
+    let _spawning = lock(&SPAWN_LOCK);
     for _ in 0..span {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (start.wrapping_add(step) % span) as u16;
--- a/crates/trial/src/fleet/child.rs
+++ b/crates/trial/src/fleet/child.rs
@@ -4,6 +4,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::shared_state::{SPAWN_LOCK, lock};
+
 /// A child process of an experiment, which is killed when the guard is dropped.
 #[derive(Debug)]
 pub struct ChildGuard {
@@ -93,6 +95,7 @@
     }
 
     fn spawn(mut command: Command, stderr: Stdio) -> std::io::Result<Self> {
+        let _spawning = lock(&SPAWN_LOCK);
         let child = command.stdin(Stdio::null()).stderr(stderr).spawn()?;
         Ok(Self { child })
     }
