feat(gateway): log lines that end a stream name limit, lateness and configuration

`stream-silent` names the limit, how long the router really waited and the age of the last byte; `stream-end` names the machine's reason, the age of the last byte and the version of the configuration. No decision changes.

--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -359,6 +359,8 @@
             arrived: self.arrived,
             resume_after: self.fields.resume_after.clone(),
             progress: AttemptProgress::new(assignment),
+            config_version: self.config_version,
+            last_received: self.shared.now(),
         };
         let mut response = Response::new(relay.start::<D>(answer));
         *response.status_mut() = status;
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -92,6 +92,10 @@
     pub(super) resume_after: Option<String>,
     /// The attempt whose events are forwarded.
     pub(super) progress: AttemptProgress,
+    /// Version of the configuration that the request belongs to.
+    pub(super) config_version: u64,
+    /// When the endpoint last sent something, or the time of its response head.
+    pub(super) last_received: ClockTime,
 }
 
 /// How one endpoint's part of a stream ended.
@@ -174,16 +178,20 @@
             let time_left = self.request.deadline.since(self.shared.now());
             let has_started = splitter.events() > 0;
             let limit = silence_limit.min(time_left);
+            let waiting_since = self.shared.now();
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = caller.closed() => return PartEnd::CallerLeft,
                 () = tokio::time::sleep(limit) => {
-                    if self.shared.now() >= self.request.deadline {
+                    let now = self.shared.now();
+                    if now >= self.request.deadline {
                         return PartEnd::TimedOut;
                     }
+                    self.log_silence(limit, now.since(waiting_since));
                     return PartEnd::Broken("no event within the silence limit".to_owned());
                 }
             };
+            self.last_received = self.shared.now();
             let bytes = match frame {
                 None if !splitter.partial().is_empty() => {
                     return PartEnd::Broken("the stream ended inside an event".to_owned());
@@ -241,9 +249,16 @@
                 () = caller.closed() => None,
                 () = tokio::time::sleep(time_left) => None,
             };
-            let Some(StartVerdict::Start(assignment)) = verdict else {
-                self.log_end("not-resumed", &endpoint, splitter);
-                return None;
+            let assignment = match verdict {
+                Some(StartVerdict::Start(assignment)) => assignment,
+                Some(StartVerdict::Refuse { reason, .. }) => {
+                    self.log_end(reason.name(), &endpoint, splitter);
+                    return None;
+                }
+                None => {
+                    self.log_end("not-resumed", &endpoint, splitter);
+                    return None;
+                }
             };
             endpoint = assignment.endpoint.clone();
             self.progress = AttemptProgress::new(&assignment);
@@ -265,6 +280,7 @@
             };
             match result {
                 Ok(next) if next.response.status().is_success() => {
+                    self.last_received = self.shared.now();
                     self.log_resumed(&endpoint, after.as_deref());
                     return Some(next);
                 }
@@ -298,6 +314,21 @@
         self.log_end("complete", endpoint, splitter);
     }
 
+    /// Logs that the endpoint sent nothing for `limit`; `waited` is longer if the router was late.
+    fn log_silence(&self, limit: Duration, waited: Duration) {
+        self.shared.log.write(
+            "stream-silent",
+            json!({
+                "request": self.request.number,
+                "endpoint": self.progress.endpoint.as_str(),
+                "limit_ms": limit.as_millis() as u64,
+                "waited_ms": waited.as_millis() as u64,
+                "received_ms": self.shared.now().since(self.last_received).as_millis() as u64,
+                "config": self.config_version,
+            }),
+        );
+    }
+
     fn log_end(&self, end: &str, endpoint: &EndpointId, splitter: &EventSplitter) {
         self.shared.log.write(
             "stream-end",
@@ -307,6 +338,8 @@
                 "endpoint": endpoint.as_str(),
                 "events": splitter.events(),
                 "last_event": splitter.last_id(),
+                "received_ms": self.shared.now().since(self.last_received).as_millis() as u64,
+                "config": self.config_version,
                 "ms": self.shared.now().since(self.arrived).as_millis() as u64,
             }),
         );
