feat(gateway): a request whose connection ends before its response is logged and counted

Such a request left no line: neither that it had come nor that it went without an answer. `unanswered` names the request, its age, the configuration in force and whether the process is stopping; the counter has the same name.

--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -12,6 +12,8 @@
     registry: Registry,
     /// Answers to callers, by status and by reason or form.
     pub(super) answers: Family<AnswerLabels, Counter>,
+    /// Requests whose connection ended before they had a response.
+    pub(super) unanswered: Counter,
     /// Attempts at endpoints, by how the attempt ended.
     pub(super) attempts: Family<EndLabels, Counter>,
     /// Retries of requests.
@@ -71,6 +73,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("cicadalock"),
             answers: Family::default(),
+            unanswered: Counter::default(),
             attempts: Family::default(),
             repeats: Counter::default(),
             connects: Counter::default(),
@@ -86,6 +89,11 @@
         };
         let registry = &mut metrics.registry;
         registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register(
+            "unanswered",
+            "Requests whose connection ended before they had a response",
+            metrics.unanswered.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts at endpoints",
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -77,6 +77,12 @@
     let (parts, body) = request.into_parts();
     let fields = D::decode_request_fields(&parts.headers);
     let request_id = fields.request.clone().unwrap_or_default();
+    let mut watch = AnswerWatch {
+        shared: Rc::clone(&shared),
+        request: request_id.clone(),
+        arrived,
+        is_answered: false,
+    };
     let resolved = resolve_context(&shared, &parts, &fields, arrived);
     let handler = match resolved {
         Ok(context) => read_request(&shared, parts, body, fields, context).await,
@@ -86,6 +92,7 @@
         Ok(handler) => handler.run::<D>().await,
         Err(refusal) => refuse(&shared, &request_id, refusal, arrived),
     };
+    watch.is_answered = true;
     if shared.should_shed_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -93,6 +100,32 @@
     Ok(response)
 }
 
+/// Logs a request whose connection ends before it has a response.
+struct AnswerWatch {
+    shared: Rc<GatewayShared>,
+    request: String,
+    arrived: ClockTime,
+    is_answered: bool,
+}
+
+impl Drop for AnswerWatch {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        self.shared.metrics.unanswered.inc();
+        self.shared.log.write(
+            "unanswered",
+            json!({
+                "request": self.request,
+                "is_stopping": self.shared.is_stopping.get(),
+                "config": self.shared.config.borrow().as_ref().map(|config| config.version()),
+                "ms": self.shared.now().since(self.arrived).as_millis() as u64,
+            }),
+        );
+    }
+}
+
 /// Configuration, route and customer that apply to a request.
 struct RequestContext {
     config: Arc<ServingConfig>,
