--- a/crates/cicadalock-core/src/gateway/action.rs
+++ b/crates/cicadalock-core/src/gateway/action.rs
@@ -76,6 +76,8 @@
     Time,
     /// The request may have run and must not run twice.
     MayHaveRun,
+    /// The attempt beside which another one is to be made has ended.
+    Ended,
 }
 
 impl RefusalReason {
@@ -105,6 +107,7 @@
             Self::Budget => "repeat-budget-used",
             Self::Time => "no-time-left",
             Self::MayHaveRun => "may-have-run",
+            Self::Ended => "ended",
         }
     }
 }
--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::id::{CustomerId, EndpointId, ServiceName};
+use crate::id::{CustomerId, EndpointId, RequestId, ServiceName};
 use crate::serving::PromptShape;
 use crate::time::ClockTime;
 
@@ -29,8 +29,10 @@
     pub is_trial: bool,
     /// Endpoints that had no room for the request within their limit.
     pub passed_over: Vec<EndpointId>,
-    /// Endpoints of earlier attempts, including those that were not reached.
+    /// Endpoints of other attempts, including those that were not reached.
     pub tried: Vec<EndpointId>,
+    /// The silent attempt beside which this one is made; none for all other attempts.
+    pub standby_for: Option<RequestId>,
 }
 
 /// Builder of a [`GatewayCall`].
@@ -87,6 +89,7 @@
                 is_trial: false,
                 passed_over: Vec::new(),
                 tried: Vec::new(),
+                standby_for: None,
             },
         }
     }
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -326,6 +326,7 @@
         }
         self.record_evidence(&request, end, now);
         request.call.tried.push(endpoint);
+        request.call.standby_for = None;
         Some(request.call)
     }
 
@@ -360,6 +361,27 @@
         Ok(())
     }
 
+    /// Queues a second attempt, `standby`, of a request whose attempt `running` is silent.
+    ///
+    /// The silent attempt goes on, since a sound endpoint may pause. Both attempts count towards the
+    /// limits of the request, and either may end first.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no second attempt is made.
+    pub fn begin_standby(
+        &mut self,
+        running: RequestId,
+        standby: RequestId,
+        now: ClockTime,
+    ) -> Result<(), RetryDenial> {
+        let request = self.requests.get(&running).ok_or(RetryDenial::Ended)?;
+        let mut call = request.call.clone();
+        call.tried.push(request.plan.endpoint.clone());
+        call.standby_for = Some(running);
+        self.retry(standby, call, AttemptEnd::Broken, now)
+    }
+
     /// Returns when [`Self::take_actions`] is next due, or none if nothing is pending.
     #[must_use]
     pub fn next_wake(&self) -> Option<ClockTime> {
@@ -479,13 +501,18 @@
         if let Some(prompt) = &request.call.prompt {
             self.memory.record(&endpoint, prompt, now);
         }
+        let (standby_for, expected) = (request.call.standby_for, request.plan.expected);
+        let waited = now.since(request.since);
         self.actions.push(GatewayAction::Start {
             request: id,
-            endpoint,
+            endpoint: endpoint.clone(),
             address: state.listed.address,
-            waited: now.since(request.since),
-            expected: request.plan.expected,
+            waited,
+            expected,
         });
+        if let Some(silent) = standby_for.and_then(|silent| self.requests.get_mut(&silent)) {
+            silent.call.tried.push(endpoint);
+        }
     }
 
     /// Refuses requests that passed their latest useful start.
--- a/crates/cicadalock-core/src/serving/route.rs
+++ b/crates/cicadalock-core/src/serving/route.rs
@@ -13,10 +13,13 @@
 /// Silence of a stream after which callers disconnect, in longest pauses of the route.
 const CALLER_TIMEOUT_PAUSES: u32 = 8;
 
-/// Fraction of the callers' timeout after which a silent stream is aborted.
+/// Time before its caller disconnects at which a silent stream is ended.
 ///
-/// The rest covers the transit times.
-const SILENCE_FRACTION: f64 = 0.9;
+/// Covers the transit times and the router's own delay.
+const CALLER_MARGIN: Duration = Duration::from_millis(200);
+
+/// Fraction of the callers' timeout after which another endpoint is tried beside a silent one.
+const STANDBY_FRACTION: f64 = 0.45;
 
 /// Response type of a route, and whether its requests may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,16 +128,26 @@
         matches!(self.kind, RouteKind::Streaming { .. })
     }
 
-    /// Returns the silence after which a stream is aborted, just before its caller disconnects.
+    /// Returns the silence after which a stream is ended, just before its caller disconnects.
     ///
-    /// Callers disconnect from a silent stream after the longest of two seconds, four objectives
-    /// and eight longest pauses. A caller that receives an error first may retry; one that
-    /// disconnects counts as lost.
+    /// A caller that receives an error first may retry; one that disconnects counts as lost.
     #[must_use]
     pub fn silence_limit(&self) -> Duration {
-        let caller_timeout = MIN_CALLER_TIMEOUT.max(self.objective * CALLER_TIMEOUT_OBJECTIVES);
+        self.caller_timeout() - CALLER_MARGIN
+    }
+
+    /// Returns the silence of a stream after which another endpoint is tried as well.
+    #[must_use]
+    pub fn standby_delay(&self) -> Duration {
+        self.caller_timeout().mul_f64(STANDBY_FRACTION)
+    }
+
+    /// Returns the silence of a stream after which callers disconnect: the longest of two seconds,
+    /// four objectives and eight longest pauses.
+    fn caller_timeout(&self) -> Duration {
+        let objectives = self.objective * CALLER_TIMEOUT_OBJECTIVES;
         let pauses = self.pause.unwrap_or_default() * CALLER_TIMEOUT_PAUSES;
-        caller_timeout.max(pauses).mul_f64(SILENCE_FRACTION)
+        MIN_CALLER_TIMEOUT.max(objectives).max(pauses)
     }
 
     /// Selects a target by weight: `number` modulo the sum of weights, so equal numbers select the
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -907,3 +907,65 @@
         }
     }
 }
+
+/// Starts a request and returns the endpoint of its first attempt.
+fn start_first(machine: &mut GatewayMachine, call: GatewayCall) -> EndpointId {
+    machine.submit(RequestId::new(1), call, at(0));
+    let started = started(machine.take_actions(at(0)));
+    started.into_iter().next().expect("the request starts").1
+}
+
+#[test]
+fn a_standby_goes_to_another_endpoint_while_the_silent_attempt_goes_on() {
+    let mut machine = machine(2, 8, None);
+    let silent = start_first(&mut machine, call(at(0), true));
+    for number in 2..=9 {
+        machine.submit(RequestId::new(100 + number), call(at(0), true), at(0));
+    }
+    machine.take_actions(at(0));
+    let result = machine.begin_standby(RequestId::new(1), RequestId::new(2), at(900));
+    assert_eq!(result, Ok(()));
+    let standby = started(machine.take_actions(at(900)));
+    let [(id, endpoint)] = &standby[..] else {
+        panic!("one attempt starts, not {standby:?}");
+    };
+    assert_eq!(*id, RequestId::new(2));
+    assert_ne!(*endpoint, silent);
+    let silent_call = machine.end(RequestId::new(1), AttemptEnd::Complete, at(1_000));
+    assert!(silent_call.is_some(), "the silent attempt still runs");
+}
+
+#[test]
+fn a_silent_attempt_and_its_standby_share_the_limit_on_endpoints() {
+    let mut machine = machine(3, 8, None);
+    for number in 100..120 {
+        machine.submit(RequestId::new(number), call(at(0), true), at(0));
+    }
+    start_first(&mut machine, call(at(0), true));
+    let begin = |machine: &mut GatewayMachine, id| {
+        machine.begin_standby(RequestId::new(1), RequestId::new(id), at(900))
+    };
+    assert_eq!(begin(&mut machine, 2), Ok(()));
+    machine.take_actions(at(900));
+    machine.end(RequestId::new(2), AttemptEnd::Abandoned, at(950));
+    assert_eq!(begin(&mut machine, 3), Err(RetryDenial::Attempts));
+    let call = machine.end(RequestId::new(1), AttemptEnd::Broken, at(1_000));
+    let call = call.expect("the silent attempt still runs");
+    assert_eq!(call.tried.len(), 2);
+    let retried = machine.retry(RequestId::new(1), call, AttemptEnd::Broken, at(1_000));
+    assert_eq!(retried, Err(RetryDenial::Attempts));
+}
+
+#[test]
+fn a_standby_needs_a_retryable_request_that_runs_and_a_retry_budget() {
+    let mut machine = machine(2, 8, None);
+    start_first(&mut machine, call(at(0), false));
+    let begin = |machine: &mut GatewayMachine, running| {
+        machine.begin_standby(RequestId::new(running), RequestId::new(9), at(900))
+    };
+    assert_eq!(begin(&mut machine, 7), Err(RetryDenial::Ended));
+    machine.submit(RequestId::new(2), call(at(0), true), at(0));
+    machine.take_actions(at(0));
+    assert_eq!(begin(&mut machine, 2), Err(RetryDenial::Budget));
+    assert_eq!(begin(&mut machine, 1), Err(RetryDenial::MayHaveRun));
+}
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -18,6 +18,8 @@
     pub(super) attempts: Family<EndLabels, Counter>,
     /// Retries of requests.
     pub(super) repeats: Counter,
+    /// Silences of attempts beside which another endpoint was to be tried, by their outcome.
+    pub(super) silences: Family<EndLabels, Counter>,
     /// Connections opened to endpoints.
     pub(super) connects: Counter,
     /// Reads of the store, by result.
@@ -76,6 +78,7 @@
             unanswered: Counter::default(),
             attempts: Family::default(),
             repeats: Counter::default(),
+            silences: Family::default(),
             connects: Counter::default(),
             reads: Family::default(),
             endpoint_changes: Family::default(),
@@ -104,6 +107,11 @@
             "Requests sent once more",
             metrics.repeats.clone(),
         );
+        registry.register(
+            "silences",
+            "Silent attempts, by what followed",
+            metrics.silences.clone(),
+        );
         registry.register(
             "connects",
             "Connections opened to endpoints",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod endpoint_change;
 mod endpoint_limits;
 mod event_splitter;
+mod gateway_body;
 mod gateway_metrics;
 mod gateway_settings;
 mod head_gate;
@@ -28,6 +29,7 @@
 mod serve;
 mod shared;
 mod store_follower;
+mod stream_part;
 mod stream_relay;
 mod suspension;
 
--- a/crates/cicadalock-node/src/gateway/refusal.rs
+++ b/crates/cicadalock-node/src/gateway/refusal.rs
@@ -5,7 +5,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use super::stream_relay::GatewayBody;
+use super::gateway_body::GatewayBody;
 
 /// An error that the gateway itself returns to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/cicadalock-node/src/gateway/request_guard.rs
+++ b/crates/cicadalock-node/src/gateway/request_guard.rs
@@ -40,6 +40,31 @@
         }
     }
 
+    /// Queues a second attempt of this request, whose running attempt is silent and goes on.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no second attempt is made.
+    pub(super) fn begin_standby(&self) -> Result<Self, RetryDenial> {
+        let id = self.shared.next_id();
+        let verdict = self.shared.register_waiter(id);
+        let now = self.shared.now();
+        let mut machine = self.shared.machine.borrow_mut();
+        if let Err(denial) = machine.begin_standby(self.id, id, now) {
+            self.shared.remove_waiter(id);
+            return Err(denial);
+        }
+        drop(machine);
+        self.shared.metrics.repeats.inc();
+        self.shared.metrics.held.inc();
+        self.shared.drive();
+        Ok(Self {
+            shared: Rc::clone(&self.shared),
+            id,
+            phase: GuardPhase::Waiting(verdict),
+        })
+    }
+
     /// Moves the request to a new guard; dropping this one no longer affects it.
     pub(super) fn take(&mut self) -> Self {
         self.shared.metrics.held.inc();
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cicadalock_core::gateway::{AttemptEnd, GatewayCall};
-use cicadalock_core::id::{CustomerId, CustomerName};
+use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RetryDenial};
+use cicadalock_core::id::{CustomerId, CustomerName, EndpointId};
 use cicadalock_core::serving::{RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
@@ -21,11 +21,13 @@
     remove_hop_by_hop_headers,
 };
 use super::dialect::{GatewayDialect, RequestFields};
-use super::gateway_metrics::AnswerLabels;
+use super::gateway_body::GatewayBody;
+use super::gateway_metrics::{AnswerLabels, EndLabels};
 use super::refusal::CallerRefusal;
 use super::request_guard::RequestGuard;
 use super::shared::{EndpointAssignment, GatewayShared, StartVerdict};
-use super::stream_relay::{GatewayBody, StreamRelay};
+use super::stream_part::StreamPart;
+use super::stream_relay::{SilenceLimits, StreamRelay};
 use crate::callers::{BodyError, read_body};
 
 /// `Retry-After` of refusals that should clear soon, such as before the first configuration has
@@ -36,11 +38,12 @@
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Time to wait for the response head of a retryable request beyond the predicted time to its first
-/// event, as a multiple of the route's objective. The request is then tried at another endpoint.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 2.5;
+/// event, as a multiple of the route's objective. Another endpoint is then tried as well.
+const STANDBY_FACTOR: f64 = 2.5;
 
 /// An endpoint's response whose body was read to its end.
 struct BufferedAnswer {
+    endpoint: EndpointId,
     status: hyper::StatusCode,
     headers: HeaderMap,
     body: Bytes,
@@ -50,12 +53,31 @@
 
 /// Result of one attempt at an endpoint.
 enum AttemptOutcome {
-    /// The response for the caller.
-    Answered(Response<GatewayBody>),
+    /// The endpoint begins a stream.
+    Stream(EndpointAnswer),
+    Whole(BufferedAnswer),
     /// The attempt failed. An error response of the endpoint is kept in case no retry follows.
     Failed(AttemptFailure, Option<BufferedAnswer>),
 }
 
+/// An attempt that failed, and what is needed to retry the request.
+struct FailedAttempt {
+    failure: AttemptFailure,
+    answer: Option<BufferedAnswer>,
+    progress: AttemptProgress,
+    /// `None` if the gateway no longer knows the request.
+    call: Option<GatewayCall>,
+    /// Whether this attempt, or another one made beside it, may have run the request.
+    may_have_run: bool,
+}
+
+/// A second attempt, made during the silence of the first, whose endpoint answers.
+struct AnsweredStandby {
+    guard: RequestGuard,
+    assignment: EndpointAssignment,
+    outcome: AttemptOutcome,
+}
+
 /// Runs one request: attempts, retries and the response to the caller.
 struct RequestHandler {
     shared: Rc<GatewayShared>,
@@ -278,56 +300,149 @@
                 }
             };
             self.log_start(&assignment, guard.number());
-            let (failure, answer) = match self.try_endpoint::<D>(&assignment, &mut guard).await {
-                AttemptOutcome::Answered(response) => return response,
-                AttemptOutcome::Failed(failure, answer) => (failure, answer),
+            let failed = match self.race::<D>(&assignment, &mut guard).await {
+                Ok(response) => return response,
+                Err(failed) => failed,
             };
-            self.may_have_run |= !failure.end.is_not_run();
-            let Some(call) = guard.finish_attempt(failure.end) else {
+            let FailedAttempt {
+                failure,
+                answer,
+                progress,
+                call,
+                may_have_run,
+            } = *failed;
+            self.may_have_run |= may_have_run;
+            let Some(call) = call else {
                 return self.refuse(self.refusal_before_start("stopping", DEFAULT_RETRY_AFTER));
             };
-            let denial = match guard.retry(call, failure.end) {
-                Ok(()) => {
-                    failure.log(
-                        &self.shared,
-                        &self.request,
-                        &AttemptProgress::new(&assignment),
-                        "repeated",
-                    );
-                    continue;
-                }
-                Err(denial) => denial.name(),
+            // No other endpoint could begin a stream before its caller leaves.
+            let denial = if self.is_silent() {
+                Some(RetryDenial::Time)
+            } else {
+                guard.retry(call, failure.end).err()
             };
-            failure.log(
-                &self.shared,
-                &self.request,
-                &AttemptProgress::new(&assignment),
-                denial,
-            );
+            let next = denial.map_or("repeated", RetryDenial::name);
+            failure.log(&self.shared, &self.request, &progress, next);
+            if denial.is_none() {
+                continue;
+            }
             return match answer {
-                Some(answer) => self.send_buffered(answer, &assignment),
+                Some(answer) => self.send_buffered(answer),
                 None => self.refuse(self.refusal_after_failure(&failure)),
             };
         }
     }
 
+    /// Makes an attempt, and a second one at another endpoint if the first is silent for long.
+    ///
+    /// A silent endpoint may be sound, so its attempt goes on: the first answer is sent to the caller,
+    /// and the other attempt is cancelled.
+    async fn race<D: GatewayDialect>(
+        &self,
+        assignment: &EndpointAssignment,
+        guard: &mut RequestGuard,
+    ) -> Result<Response<GatewayBody>, Box<FailedAttempt>> {
+        let mut first = std::pin::pin!(self.try_endpoint::<D>(assignment));
+        if !self.route.may_retry() {
+            return self.conclude::<D>(first.await, assignment, guard);
+        }
+        let limit = self.route.objective.mul_f64(STANDBY_FACTOR) + assignment.expected;
+        if let Ok(outcome) = tokio::time::timeout(limit, &mut first).await {
+            return self.conclude::<D>(outcome, assignment, guard);
+        }
+        let standby = guard.begin_standby();
+        let next = standby
+            .as_ref()
+            .err()
+            .map_or("standby", |denial| denial.name());
+        self.log_silence(assignment, limit, next);
+        let Ok(standby) = standby else {
+            self.record_silence(next);
+            return self.conclude::<D>(first.await, assignment, guard);
+        };
+        let mut second = std::pin::pin!(self.try_standby::<D>(standby));
+        let mut first_failed = None;
+        let standby = tokio::select! {
+            outcome = &mut first => match self.conclude::<D>(outcome, assignment, guard) {
+                Ok(response) => {
+                    self.record_silence("went-on");
+                    return Ok(response);
+                }
+                Err(failed) => {
+                    first_failed = Some(failed);
+                    second.await
+                }
+            },
+            standby = &mut second => standby,
+        };
+        match standby {
+            Ok(mut answered) => {
+                self.record_silence("replaced");
+                let failed = first_failed.unwrap_or_else(|| {
+                    let detail = "another endpoint answered during the silence";
+                    let failure = AttemptFailure::new(AttemptEnd::Broken, detail);
+                    self.fail(failure, None, assignment, guard)
+                });
+                self.log_failure(&failed, "replaced");
+                let (outcome, guard) = (answered.outcome, &mut answered.guard);
+                self.conclude::<D>(outcome, &answered.assignment, guard)
+            }
+            Err(standby_failed) => {
+                let Some(failed) = first_failed else {
+                    if let Some(standby_failed) = &standby_failed {
+                        self.log_failure(standby_failed, "silent-attempt");
+                    }
+                    let result = self.conclude::<D>(first.await, assignment, guard);
+                    return result.map_err(|failed| failed.after(standby_failed));
+                };
+                let Some(standby_failed) = standby_failed else {
+                    return Err(failed);
+                };
+                self.log_failure(&failed, "standby");
+                Err(standby_failed.after(Some(failed)))
+            }
+        }
+    }
+
+    /// Makes a second attempt during the silence of the first.
+    ///
+    /// Returns `None` in place of a failed attempt if no endpoint takes the request.
+    async fn try_standby<D: GatewayDialect>(
+        &self,
+        mut guard: RequestGuard,
+    ) -> Result<AnsweredStandby, Option<Box<FailedAttempt>>> {
+        let assignment = match guard.verdict().await {
+            Some(StartVerdict::Start(assignment)) => assignment,
+            Some(StartVerdict::Refuse { reason, .. }) => {
+                self.record_silence(reason.name());
+                return Err(None);
+            }
+            None => return Err(None),
+        };
+        self.log_start(&assignment, guard.number());
+        match self.try_endpoint::<D>(&assignment).await {
+            AttemptOutcome::Failed(failure, answer) => {
+                Err(Some(self.fail(failure, answer, &assignment, &mut guard)))
+            }
+            outcome => Ok(AnsweredStandby {
+                guard,
+                assignment,
+                outcome,
+            }),
+        }
+    }
+
     /// Makes one attempt at the endpoint that `assignment` names.
     async fn try_endpoint<D: GatewayDialect>(
         &self,
         assignment: &EndpointAssignment,
-        guard: &mut RequestGuard,
     ) -> AttemptOutcome {
-        let time_left = self.request.deadline.since(self.shared.now());
-        let attempt_timeout = if self.route.may_retry() {
-            let timeout =
-                self.route.objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR) + assignment.expected;
-            timeout.min(time_left)
-        } else if self.route.is_streaming() {
-            let waited = self.shared.now().since(self.arrived);
-            self.route
-                .silence_limit()
-                .saturating_sub(waited)
-                .min(time_left)
+        let now = self.shared.now();
+        let time_left = self.request.deadline.since(now);
+        let head_timeout = if self.route.is_streaming() {
+            let waited = now.since(self.arrived);
+            let silence_left = self.route.silence_limit().saturating_sub(waited);
+            silence_left.min(time_left)
         } else {
             time_left
         };
@@ -337,7 +452,7 @@
             &self.request,
             assignment,
             resume,
-            attempt_timeout,
+            head_timeout,
         )
         .await;
         let answer = match answer {
@@ -346,7 +461,7 @@
         };
         let status = answer.response.status();
         if self.route.is_streaming() && status.is_success() {
-            return AttemptOutcome::Answered(self.relay::<D>(answer, assignment, guard));
+            return AttemptOutcome::Stream(answer);
         }
         let time_left = self.request.deadline.since(self.shared.now());
         let buffered = tokio::time::timeout(time_left, buffer_answer(&self.shared, answer)).await;
@@ -356,11 +471,7 @@
                 let failure = AttemptFailure::new(AttemptEnd::Failed, detail);
                 AttemptOutcome::Failed(failure, Some(answer))
             }
-            Ok(Ok(answer)) => {
-                guard.record_first_event();
-                guard.finish_attempt(answer.end);
-                AttemptOutcome::Answered(self.send_buffered(answer, assignment))
-            }
+            Ok(Ok(answer)) => AttemptOutcome::Whole(answer),
             Ok(Err(detail)) => {
                 AttemptOutcome::Failed(AttemptFailure::new(AttemptEnd::Broken, detail), None)
             }
@@ -374,6 +485,45 @@
         }
     }
 
+    /// Turns the result of an attempt into the response for the caller, or ends the attempt.
+    fn conclude<D: GatewayDialect>(
+        &self,
+        outcome: AttemptOutcome,
+        assignment: &EndpointAssignment,
+        guard: &mut RequestGuard,
+    ) -> Result<Response<GatewayBody>, Box<FailedAttempt>> {
+        match outcome {
+            AttemptOutcome::Stream(answer) => Ok(self.relay::<D>(answer, assignment, guard)),
+            AttemptOutcome::Whole(answer) => {
+                guard.record_first_event();
+                guard.finish_attempt(answer.end);
+                Ok(self.send_buffered(answer))
+            }
+            AttemptOutcome::Failed(failure, answer) => {
+                Err(self.fail(failure, answer, assignment, guard))
+            }
+        }
+    }
+
+    /// Ends an attempt that failed.
+    fn fail(
+        &self,
+        failure: AttemptFailure,
+        answer: Option<BufferedAnswer>,
+        assignment: &EndpointAssignment,
+        guard: &mut RequestGuard,
+    ) -> Box<FailedAttempt> {
+        let call = guard.finish_attempt(failure.end);
+        let may_have_run = !failure.end.is_not_run();
+        Box::new(FailedAttempt {
+            failure,
+            answer,
+            progress: AttemptProgress::new(assignment),
+            call,
+            may_have_run,
+        })
+    }
+
     fn relay<D: GatewayDialect>(
         &self,
         answer: EndpointAnswer,
@@ -382,34 +532,24 @@
     ) -> Response<GatewayBody> {
         let status = answer.response.status();
         let headers = caller_headers(answer.response.headers());
-        self.log_answer(status.as_u16(), "stream", Some(assignment));
-        let relay = StreamRelay {
-            shared: Rc::clone(&self.shared),
-            guard: guard.take(),
-            request: self.request.clone(),
-            is_resumable: self.route.may_retry(),
-            silence_limit: self.route.silence_limit(),
-            arrived: self.arrived,
-            resume_after: self.fields.resume_after.clone(),
-            progress: AttemptProgress::new(assignment),
-            config_version: self.config_version,
-            last_received: self.shared.now(),
-        };
-        let mut response = Response::new(relay.start::<D>(answer));
+        self.log_answer(status.as_u16(), "stream", Some(&assignment.endpoint));
+        let part = StreamPart::new(answer, guard.take(), AttemptProgress::new(assignment));
+        let limits = SilenceLimits::of(&self.route);
+        let relay = StreamRelay::new(&self.shared, self.request.clone(), limits, part)
+            .arrived(self.arrived)
+            .resume_after(self.fields.resume_after.clone())
+            .config_version(self.config_version);
+        let mut response = Response::new(relay.start::<D>());
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
 
-    fn send_buffered(
-        &self,
-        answer: BufferedAnswer,
-        assignment: &EndpointAssignment,
-    ) -> Response<GatewayBody> {
+    fn send_buffered(&self, answer: BufferedAnswer) -> Response<GatewayBody> {
         let elapsed = self.shared.now().since(self.arrived).as_secs_f64();
         self.shared.metrics.first.observe(elapsed);
         self.shared.metrics.whole.observe(elapsed);
-        self.log_answer(answer.status.as_u16(), "whole", Some(assignment));
+        self.log_answer(answer.status.as_u16(), "whole", Some(&answer.endpoint));
         let mut response = Response::new(GatewayBody::Buffered(Full::new(answer.body)));
         *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
@@ -430,14 +570,18 @@
         }
     }
 
+    /// Returns whether the caller of a stream is about to leave because nothing has arrived.
+    fn is_silent(&self) -> bool {
+        let waited = self.shared.now().since(self.arrived);
+        self.route.is_streaming() && waited >= self.route.silence_limit()
+    }
+
     /// Returns the refusal of a request whose last attempt failed.
     fn refusal_after_failure(&self, failure: &AttemptFailure) -> CallerRefusal {
         if !self.may_have_run {
             return CallerRefusal::not_run(failure.end.name(), DEFAULT_RETRY_AFTER);
         }
-        let waited = self.shared.now().since(self.arrived);
-        let is_silent = self.route.is_streaming() && waited >= self.route.silence_limit();
-        let is_late = is_silent || self.shared.now() >= self.request.deadline;
+        let is_late = self.is_silent() || self.shared.now() >= self.request.deadline;
         let status = if is_late { 504 } else { 502 };
         CallerRefusal::may_have_run(status, failure.end.name())
     }
@@ -469,7 +613,35 @@
         );
     }
 
-    fn log_answer(&self, status: u16, form: &str, assignment: Option<&EndpointAssignment>) {
+    fn log_failure(&self, failed: &FailedAttempt, next: &str) {
+        failed
+            .failure
+            .log(&self.shared, &self.request, &failed.progress, next);
+    }
+
+    /// Logs that an endpoint has sent no response head for `limit`.
+    fn log_silence(&self, assignment: &EndpointAssignment, limit: Duration, next: &str) {
+        let waited = self.shared.now().since(assignment.started_at);
+        self.shared.log.write(
+            "attempt-silent",
+            json!({
+                "request": self.request.number,
+                "endpoint": assignment.endpoint.as_str(),
+                "silent_ms": waited.as_millis() as u64,
+                "standby_ms": limit.as_millis() as u64,
+                "config": self.config_version,
+                "next": next,
+            }),
+        );
+    }
+
+    /// Counts what followed the silence of an endpoint.
+    fn record_silence(&self, outcome: &str) {
+        let labels = EndLabels::new(outcome);
+        self.shared.metrics.silences.get_or_create(&labels).inc();
+    }
+
+    fn log_answer(&self, status: u16, form: &str, endpoint: Option<&EndpointId>) {
         let reason = form.to_owned();
         let labels = AnswerLabels { status, reason };
         self.shared.metrics.answers.get_or_create(&labels).inc();
@@ -479,13 +651,24 @@
                 "request": self.request.number,
                 "status": status,
                 "form": form,
-                "endpoint": assignment.map(|assignment| assignment.endpoint.as_str()),
+                "endpoint": endpoint.map(EndpointId::as_str),
                 "ms": self.shared.now().since(self.arrived).as_millis() as u64,
             }),
         );
     }
 }
 
+impl FailedAttempt {
+    /// Adds what an attempt tells that failed `before` this one.
+    fn after(mut self: Box<Self>, before: Option<Box<Self>>) -> Box<Self> {
+        if let Some(before) = before {
+            self.may_have_run |= before.may_have_run;
+            self.answer = self.answer.or(before.answer);
+        }
+        self
+    }
+}
+
 /// Counts and logs a refusal, and returns its response.
 fn refuse(
     shared: &GatewayShared,
@@ -530,6 +713,7 @@
         .pool
         .put(&endpoint, connection, &parts.headers, shared.now());
     Ok(BufferedAnswer {
+        endpoint,
         status: parts.status,
         end: complete_end(&parts.headers),
         headers: caller_headers(&parts.headers),
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -1,358 +1,506 @@
-use std::convert::Infallible;
-use std::pin::Pin;
+use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use cicadalock_core::gateway::{AttemptEnd, RetryDenial};
+use bytes::BytesMut;
+use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RetryDenial};
 use cicadalock_core::id::EndpointId;
+use cicadalock_core::serving::RouteConfig;
 use cicadalock_core::time::ClockTime;
-use http_body_util::{BodyExt, Full};
-use hyper::HeaderMap;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
 use serde_json::json;
-use snafu::Snafu;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
-use super::attempt::{
-    AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt, complete_end,
-};
-use super::connection_pool::EndpointConnection;
+use super::attempt::{AttemptFailure, AttemptProgress, CallerRequest};
 use super::dialect::GatewayDialect;
 use super::event_splitter::EventSplitter;
+use super::gateway_body::{GatewayBody, StreamChunk};
+use super::gateway_metrics::EndLabels;
 use super::request_guard::RequestGuard;
-use super::shared::{GatewayShared, StartVerdict};
+use super::shared::GatewayShared;
+use super::stream_part::{PartFrame, ResumeEnd, StreamPart};
 
 /// Number of chunks that are buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 64;
 
-/// Body of a response to a caller.
-#[derive(Debug)]
-pub(super) enum GatewayBody {
-    /// The complete body.
-    Buffered(Full<Bytes>),
-    /// A body that is received in chunks. If the sender is dropped before [`StreamChunk::End`], the
-    /// body fails with [`IncompleteBody`].
-    Stream(mpsc::Receiver<StreamChunk>),
-}
-
-/// A part of a streamed response.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum StreamChunk {
-    Bytes(Bytes),
-    End,
-}
-
-/// The stream failed before its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
-#[snafu(display("response stream failed before its end"))]
-pub(super) struct IncompleteBody;
-
-impl Body for GatewayBody {
-    type Data = Bytes;
-    type Error = IncompleteBody;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
-        match self.get_mut() {
-            Self::Buffered(body) => Pin::new(body)
-                .poll_frame(context)
-                .map_err(|never: Infallible| match never {}),
-            Self::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
-                Some(StreamChunk::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(StreamChunk::End) => None,
-                None => Some(Err(IncompleteBody)),
-            }),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Buffered(body) => body.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
-        }
-    }
+/// Limits of a stream's silence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct SilenceLimits {
+    /// Silence after which another endpoint is tried as well; `None` if the stream may not be resumed.
+    pub(super) standby: Option<Duration>,
+    /// Silence after which the stream is ended.
+    pub(super) end: Duration,
 }
 
 /// Forwards an event stream to a caller, and resumes it at another endpoint if that is allowed.
+///
+/// A silent endpoint may be sound and go on. Another one is tried beside it, and the one that sends
+/// the next event is followed; the other attempt is cancelled.
 #[derive(Debug)]
 pub(super) struct StreamRelay {
-    pub(super) shared: Rc<GatewayShared>,
-    pub(super) guard: RequestGuard,
-    pub(super) request: CallerRequest,
-    pub(super) is_resumable: bool,
-    /// Time without data after which the stream fails; a resumable stream is resumed at another
-    /// endpoint after half of it.
-    pub(super) silence_limit: Duration,
-    pub(super) arrived: ClockTime,
+    shared: Rc<GatewayShared>,
+    request: Rc<CallerRequest>,
+    limits: SilenceLimits,
+    arrived: ClockTime,
     /// Id of the event after which the caller asked to resume the stream.
-    pub(super) resume_after: Option<String>,
-    /// The attempt whose events are forwarded.
-    pub(super) progress: AttemptProgress,
+    resume_after: Option<String>,
     /// Version of the configuration that the request belongs to.
-    pub(super) config_version: u64,
-    /// When the endpoint last sent something, or the time of its response head.
-    pub(super) last_received: ClockTime,
+    config_version: u64,
+    splitter: EventSplitter,
+    /// When the last event was forwarded, or the first response head arrived.
+    last_event_at: ClockTime,
+    /// When another endpoint is tried beside a silent one; `None` while that is done or not allowed.
+    standby_due: Option<ClockTime>,
+    /// The part whose events are forwarded; `None` once it has failed.
+    current: Option<StreamPart>,
+    /// A later part that has begun while the current one is silent.
+    standby: Option<StandbyPart>,
+    /// The attempt to resume the stream, until its response head arrives.
+    resuming: JoinSet<ResumeEnd>,
+    /// Endpoint of the last attempt, for the log.
+    endpoint: EndpointId,
 }
 
-/// How one endpoint's part of a stream ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum PartEnd {
-    Complete,
+/// A part that goes on with the stream unless the silent one does so first.
+#[derive(Debug)]
+struct StandbyPart {
+    part: StreamPart,
+    splitter: EventSplitter,
+    received: BytesMut,
+}
+
+/// What a relay waits for.
+#[derive(Debug)]
+enum RelayEvent {
+    Current(PartFrame),
+    Standby(PartFrame),
+    Resumed(ResumeEnd),
     CallerLeft,
-    TimedOut,
-    Broken(String),
+    TimerDue,
+}
+
+impl SilenceLimits {
+    /// Returns the limits of a route's streams.
+    pub(super) fn of(route: &RouteConfig) -> Self {
+        Self {
+            standby: route.may_retry().then(|| route.standby_delay()),
+            end: route.silence_limit(),
+        }
+    }
 }
 
 impl StreamRelay {
-    /// Spawns a task that forwards `answer`, and returns the body for the caller.
-    pub(super) fn start<D: GatewayDialect>(self, answer: EndpointAnswer) -> GatewayBody {
+    /// Creates a relay of a stream that begins with `part`.
+    pub(super) fn new(
+        shared: &Rc<GatewayShared>,
+        request: CallerRequest,
+        limits: SilenceLimits,
+        part: StreamPart,
+    ) -> Self {
+        let now = shared.now();
+        Self {
+            shared: Rc::clone(shared),
+            request: Rc::new(request),
+            limits,
+            arrived: now,
+            resume_after: None,
+            config_version: 0,
+            splitter: EventSplitter::default(),
+            last_event_at: now,
+            standby_due: limits.standby.map(|delay| now + delay),
+            endpoint: part.progress.endpoint.clone(),
+            current: Some(part),
+            standby: None,
+            resuming: JoinSet::new(),
+        }
+    }
+
+    /// Sets when the request arrived.
+    #[must_use]
+    pub(super) const fn arrived(mut self, arrived: ClockTime) -> Self {
+        self.arrived = arrived;
+        self
+    }
+
+    /// Sets the id of the event after which the caller asked to resume the stream.
+    #[must_use]
+    pub(super) fn resume_after(mut self, id: Option<String>) -> Self {
+        self.resume_after = id;
+        self
+    }
+
+    /// Sets the version of the configuration that the request belongs to.
+    #[must_use]
+    pub(super) const fn config_version(mut self, version: u64) -> Self {
+        self.config_version = version;
+        self
+    }
+
+    /// Spawns a task that forwards the stream, and returns the body for the caller.
+    pub(super) fn start<D: GatewayDialect>(self) -> GatewayBody {
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        tokio::task::spawn_local(self.run::<D>(answer, sender));
+        tokio::task::spawn_local(self.run::<D>(sender));
         GatewayBody::Stream(receiver)
     }
 
-    async fn run<D: GatewayDialect>(
-        mut self,
-        mut answer: EndpointAnswer,
-        caller: mpsc::Sender<StreamChunk>,
-    ) {
-        let mut splitter = EventSplitter::default();
+    async fn run<D: GatewayDialect>(mut self, caller: mpsc::Sender<StreamChunk>) {
         loop {
-            let EndpointAnswer {
-                endpoint,
-                response,
-                connection,
-                ..
-            } = answer;
-            let (parts, body) = response.into_parts();
-            let end = self.forward_events(body, &mut splitter, &caller).await;
-            match end {
-                PartEnd::Complete => {
-                    self.finish(&endpoint, connection, &parts.headers, &splitter);
-                    // Fails only if the caller has disconnected.
-                    let _ = caller.send(StreamChunk::End).await;
-                    return;
-                }
-                PartEnd::CallerLeft => {
-                    self.log_end("caller-left", &endpoint, &splitter);
-                    self.guard.finish_attempt(AttemptEnd::Abandoned);
-                    return;
-                }
-                PartEnd::TimedOut => {
-                    self.log_end("route-timeout", &endpoint, &splitter);
-                    self.guard.finish_attempt(AttemptEnd::Abandoned);
-                    return;
-                }
-                PartEnd::Broken(detail) => {
-                    drop(connection);
-                    let failure = AttemptFailure::new(AttemptEnd::Broken, detail);
-                    match self
-                        .resume::<D>(failure, &endpoint, &mut splitter, &caller)
-                        .await
-                    {
-                        Some(next) => answer = next,
-                        None => return,
-                    }
+            let flow = match self.next_event(&caller).await {
+                RelayEvent::Current(PartFrame::Data(bytes)) => {
+                    self.forward::<D>(&bytes, &caller).await
                 }
+                RelayEvent::Current(PartFrame::End) => self.end_current::<D>(&caller).await,
+                RelayEvent::Current(PartFrame::Broken(detail)) => self.replace_broken::<D>(detail),
+                RelayEvent::Standby(frame) => self.receive_standby::<D>(frame, &caller).await,
+                RelayEvent::Resumed(end) => self.receive_resumed::<D>(end),
+                RelayEvent::CallerLeft => self.abandon("caller-left"),
+                RelayEvent::TimerDue => self.check_limits::<D>(),
+            };
+            if flow.is_break() {
+                return;
             }
         }
     }
 
-    /// Forwards the events of one endpoint's response until it ends or fails.
-    async fn forward_events(
+    async fn next_event(&mut self, caller: &mpsc::Sender<StreamChunk>) -> RelayEvent {
+        let wait = self.next_due().since(self.shared.now());
+        let standby = self.standby.as_mut().map(|standby| &mut standby.part);
+        tokio::select! {
+            frame = frame_of(self.current.as_mut()) => RelayEvent::Current(frame),
+            frame = frame_of(standby) => RelayEvent::Standby(frame),
+            Some(Ok(end)) = self.resuming.join_next() => RelayEvent::Resumed(end),
+            () = caller.closed() => RelayEvent::CallerLeft,
+            () = tokio::time::sleep(wait) => RelayEvent::TimerDue,
+        }
+    }
+
+    fn next_due(&self) -> ClockTime {
+        let due = self.request.deadline.min(self.end_due());
+        self.standby_due
+            .map_or(due, |standby_due| standby_due.min(due))
+    }
+
+    fn end_due(&self) -> ClockTime {
+        self.last_event_at + self.limits.end
+    }
+
+    /// Forwards the events that the bytes of the current part complete.
+    async fn forward<D: GatewayDialect>(
         &mut self,
-        mut body: Incoming,
-        splitter: &mut EventSplitter,
+        bytes: &[u8],
         caller: &mpsc::Sender<StreamChunk>,
-    ) -> PartEnd {
-        let silence_limit = if self.is_resumable {
-            self.silence_limit / 2
-        } else {
-            self.silence_limit
+    ) -> ControlFlow<()> {
+        let has_started = self.splitter.events() > 0;
+        let Some(events) = self.splitter.feed(bytes) else {
+            if self.splitter.is_oversized() {
+                return self.replace_broken::<D>("event exceeds the size limit".to_owned());
+            }
+            return ControlFlow::Continue(());
         };
-        loop {
-            let time_left = self.request.deadline.since(self.shared.now());
-            let has_started = splitter.events() > 0;
-            let limit = silence_limit.min(time_left);
-            let waiting_since = self.shared.now();
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = caller.closed() => return PartEnd::CallerLeft,
-                () = tokio::time::sleep(limit) => {
-                    let now = self.shared.now();
-                    if now >= self.request.deadline {
-                        return PartEnd::TimedOut;
-                    }
-                    self.log_silence(limit, now.since(waiting_since));
-                    return PartEnd::Broken("no event within the silence limit".to_owned());
-                }
-            };
-            self.last_received = self.shared.now();
-            let bytes = match frame {
-                None if !splitter.partial().is_empty() => {
-                    return PartEnd::Broken("the stream ended inside an event".to_owned());
-                }
-                None => return PartEnd::Complete,
-                Some(Err(error)) => return PartEnd::Broken(error.to_string()),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => bytes,
-                    Err(_) => continue,
-                },
-            };
-            let Some(events) = splitter.feed(&bytes) else {
-                if splitter.is_oversized() {
-                    return PartEnd::Broken("event exceeds the size limit".to_owned());
-                }
-                continue;
-            };
-            if !has_started {
-                self.record_first_event();
+        self.cancel_standby();
+        if !has_started {
+            let waited = self.shared.now().since(self.arrived);
+            self.shared.metrics.first.observe(waited.as_secs_f64());
+        }
+        if let Some(part) = &mut self.current {
+            part.record_event(self.shared.now());
+        }
+        if caller.send(StreamChunk::Bytes(events)).await.is_err() {
+            return self.abandon("caller-left");
+        }
+        // Time for which the caller did not read is no silence of the endpoint.
+        self.last_event_at = self.shared.now();
+        self.standby_due = self.limits.standby.map(|delay| self.last_event_at + delay);
+        ControlFlow::Continue(())
+    }
+
+    /// Ends the stream if the current part has ended between two events.
+    async fn end_current<D: GatewayDialect>(
+        &mut self,
+        caller: &mpsc::Sender<StreamChunk>,
+    ) -> ControlFlow<()> {
+        if !self.splitter.partial().is_empty() {
+            return self.replace_broken::<D>("the stream ended inside an event".to_owned());
+        }
+        self.cancel_standby();
+        if let Some(part) = self.current.take() {
+            part.finish(&self.shared);
+        }
+        let whole = self.shared.now().since(self.arrived);
+        self.shared.metrics.whole.observe(whole.as_secs_f64());
+        self.log_end("complete");
+        // Fails only if the caller has disconnected.
+        let _ = caller.send(StreamChunk::End).await;
+        ControlFlow::Break(())
+    }
+
+    /// Goes on without the current part, which has failed: with the standby, or with a new attempt.
+    fn replace_broken<D: GatewayDialect>(&mut self, detail: String) -> ControlFlow<()> {
+        let Some(part) = self.current.take() else {
+            return ControlFlow::Continue(());
+        };
+        self.splitter.discard_partial();
+        let failure = AttemptFailure::new(AttemptEnd::Broken, detail);
+        let progress = part.progress.clone();
+        let (guard, call) = part.close(failure.end);
+        if self.standby.is_some() || !self.resuming.is_empty() {
+            failure.log(&self.shared, &self.request, &progress, "standby");
+            if let Some(standby) = self.standby.take() {
+                self.follow(standby.part);
+                // The received bytes hold no complete event, which would have ended the wait.
+                let _ = self.splitter.feed(&standby.received);
+            }
+            return ControlFlow::Continue(());
+        }
+        let Some(call) = call else {
+            return ControlFlow::Break(());
+        };
+        self.retry::<D>(guard, call, &progress, &failure)
+    }
+
+    /// Queues a further attempt in place of one that has failed, or ends the stream.
+    fn retry<D: GatewayDialect>(
+        &mut self,
+        mut guard: RequestGuard,
+        call: GatewayCall,
+        progress: &AttemptProgress,
+        failure: &AttemptFailure,
+    ) -> ControlFlow<()> {
+        let denial = guard.retry(call, failure.end).err();
+        let next = denial.map_or("repeated", RetryDenial::name);
+        failure.log(&self.shared, &self.request, progress, next);
+        if denial.is_some() {
+            self.log_end(next);
+            return ControlFlow::Break(());
+        }
+        self.standby_due = None;
+        self.spawn_resume::<D>(guard);
+        ControlFlow::Continue(())
+    }
+
+    fn spawn_resume<D: GatewayDialect>(&mut self, guard: RequestGuard) {
+        let after = self.splitter.last_id().or(self.resume_after.as_deref());
+        self.resuming.spawn_local(StreamPart::resume::<D>(
+            Rc::clone(&self.shared),
+            Rc::clone(&self.request),
+            guard,
+            after.map(str::to_owned),
+        ));
+    }
+
+    /// Handles the outcome of an attempt to resume the stream.
+    fn receive_resumed<D: GatewayDialect>(&mut self, end: ResumeEnd) -> ControlFlow<()> {
+        match end {
+            ResumeEnd::Begun(part) if self.current.is_none() => self.follow(part),
+            ResumeEnd::Begun(part) => {
+                self.standby = Some(StandbyPart {
+                    part,
+                    splitter: EventSplitter::default(),
+                    received: BytesMut::new(),
+                });
             }
-            if self.progress.record_event(self.shared.now()) {
-                self.guard.record_survival();
+            ResumeEnd::Refused(reason) if self.current.is_none() => {
+                self.log_end(reason);
+                return ControlFlow::Break(());
             }
-            if caller.send(StreamChunk::Bytes(events)).await.is_err() {
-                return PartEnd::CallerLeft;
+            ResumeEnd::Refused(reason) => self.record_silence(reason),
+            ResumeEnd::Failed(mut guard, progress, failure) => {
+                self.endpoint = progress.endpoint.clone();
+                let Some(call) = guard.finish_attempt(failure.end) else {
+                    return ControlFlow::Break(());
+                };
+                if self.current.is_none() {
+                    return self.retry::<D>(guard, call, &progress, &failure);
+                }
+                failure.log(&self.shared, &self.request, &progress, "silent-attempt");
+                self.standby_due = Some(self.shared.now());
             }
         }
+        ControlFlow::Continue(())
     }
 
-    /// Resumes the stream at another endpoint after the last complete event.
-    ///
-    /// Returns `None` if the request must not be retried, no endpoint takes it in time, or the
-    /// caller has disconnected.
-    async fn resume<D: GatewayDialect>(
+    /// Follows the standby once it has sent an event.
+    async fn receive_standby<D: GatewayDialect>(
         &mut self,
-        mut failure: AttemptFailure,
-        endpoint: &EndpointId,
-        splitter: &mut EventSplitter,
+        frame: PartFrame,
         caller: &mpsc::Sender<StreamChunk>,
-    ) -> Option<EndpointAnswer> {
-        splitter.discard_partial();
-        let mut endpoint = endpoint.clone();
-        loop {
-            let call = self.guard.finish_attempt(failure.end)?;
-            let denial = self.guard.retry(call, failure.end).err();
-            let next = denial.map_or("repeated", RetryDenial::name);
-            failure.log(&self.shared, &self.request, &self.progress, next);
-            if denial.is_some() {
-                self.log_end(next, &endpoint, splitter);
-                return None;
-            }
-            let time_left = self.request.deadline.since(self.shared.now());
-            let verdict = tokio::select! {
-                verdict = self.guard.verdict() => verdict,
-                () = caller.closed() => None,
-                () = tokio::time::sleep(time_left) => None,
-            };
-            let assignment = match verdict {
-                Some(StartVerdict::Start(assignment)) => assignment,
-                Some(StartVerdict::Refuse { reason, .. }) => {
-                    self.log_end(reason.name(), &endpoint, splitter);
-                    return None;
-                }
-                None => {
-                    self.log_end("not-resumed", &endpoint, splitter);
-                    return None;
+    ) -> ControlFlow<()> {
+        let Some(mut standby) = self.standby.take() else {
+            return ControlFlow::Continue(());
+        };
+        match frame {
+            PartFrame::Data(bytes) => {
+                standby.received.extend_from_slice(&bytes);
+                if standby.splitter.feed(&bytes).is_none() {
+                    self.standby = Some(standby);
+                    return ControlFlow::Continue(());
                 }
-            };
-            endpoint = assignment.endpoint.clone();
-            self.progress = AttemptProgress::new(&assignment);
-            let after = splitter
-                .last_id()
-                .or(self.resume_after.as_deref())
-                .map(str::to_owned);
-            let time_left = self.request.deadline.since(self.shared.now());
-            let next_attempt = attempt::<D>(
-                &self.shared,
-                &self.request,
-                &assignment,
-                after.as_deref(),
-                time_left,
+                self.hand_over(standby.part);
+                self.forward::<D>(&standby.received, caller).await
+            }
+            PartFrame::End if standby.received.is_empty() => {
+                self.hand_over(standby.part);
+                self.end_current::<D>(caller).await
+            }
+            PartFrame::End => {
+                let detail = "the stream ended inside an event".to_owned();
+                self.drop_standby(standby.part, detail)
+            }
+            PartFrame::Broken(detail) => self.drop_standby(standby.part, detail),
+        }
+    }
+
+    fn drop_standby(&mut self, part: StreamPart, detail: String) -> ControlFlow<()> {
+        let failure = AttemptFailure::new(AttemptEnd::Broken, detail);
+        failure.log(
+            &self.shared,
+            &self.request,
+            &part.progress,
+            "silent-attempt",
+        );
+        part.close(failure.end);
+        self.standby_due = Some(self.shared.now());
+        ControlFlow::Continue(())
+    }
+
+    /// Ends the silent part and follows `part` instead.
+    fn hand_over(&mut self, part: StreamPart) {
+        if let Some(silent) = self.current.take() {
+            let failure = AttemptFailure::new(
+                AttemptEnd::Broken,
+                "another endpoint went on during the silence",
             );
-            let result = tokio::select! {
-                result = next_attempt => result,
-                () = caller.closed() => return None,
-            };
+            failure.log(&self.shared, &self.request, &silent.progress, "replaced");
+            silent.close(failure.end);
+            self.record_silence("replaced");
+        }
+        self.splitter.discard_partial();
+        self.follow(part);
+    }
+
+    fn follow(&mut self, part: StreamPart) {
+        self.endpoint = part.progress.endpoint.clone();
+        self.log_resumed();
+        self.current = Some(part);
+        self.standby_due = self.limits.standby.map(|delay| self.shared.now() + delay);
+    }
+
+    /// Cancels the attempt beside a silent part that goes on.
+    fn cancel_standby(&mut self) {
+        if self.standby.take().is_some() || !self.resuming.is_empty() {
+            self.resuming = JoinSet::new();
+            self.record_silence("went-on");
+        }
+    }
+
+    /// Handles the limits that have passed.
+    fn check_limits<D: GatewayDialect>(&mut self) -> ControlFlow<()> {
+        let now = self.shared.now();
+        if now >= self.request.deadline {
+            return self.abandon("route-timeout");
+        }
+        if now >= self.end_due() {
+            return self.end_silent();
+        }
+        if self.standby_due.is_some_and(|due| now >= due)
+            && let Some(part) = &self.current
+        {
+            self.standby_due = None;
+            let result = part.guard().begin_standby();
+            let next = result
+                .as_ref()
+                .err()
+                .map_or("standby", |denial| denial.name());
+            self.log_silence(next);
             match result {
-                Ok(next) if next.response.status().is_success() => {
-                    self.last_received = self.shared.now();
-                    self.log_resumed(&endpoint, after.as_deref());
-                    return Some(next);
-                }
-                Ok(next) => {
-                    let detail = format!("status {}", next.response.status().as_u16());
-                    failure = AttemptFailure::new(AttemptEnd::Failed, detail);
-                }
-                Err(error) => failure = error,
+                Ok(guard) => self.spawn_resume::<D>(guard),
+                Err(denial) => self.record_silence(denial.name()),
             }
         }
+        ControlFlow::Continue(())
     }
 
-    fn record_first_event(&self) {
-        self.guard.record_first_event();
-        let waited = self.shared.now().since(self.arrived);
-        self.shared.metrics.first.observe(waited.as_secs_f64());
+    /// Ends the stream of an endpoint that is silent for so long that its caller is about to leave.
+    fn end_silent(&mut self) -> ControlFlow<()> {
+        self.log_silence("end");
+        if let Some(part) = self.current.take() {
+            let failure =
+                AttemptFailure::new(AttemptEnd::Broken, "no event within the silence limit");
+            failure.log(&self.shared, &self.request, &part.progress, "end");
+            part.close(failure.end);
+        }
+        self.log_end("silent");
+        ControlFlow::Break(())
     }
 
-    fn finish(
-        &mut self,
-        endpoint: &EndpointId,
-        connection: EndpointConnection,
-        headers: &HeaderMap,
-        splitter: &EventSplitter,
-    ) {
-        let now = self.shared.now();
-        self.shared.pool.put(endpoint, connection, headers, now);
-        self.guard.finish_attempt(complete_end(headers));
-        let whole = now.since(self.arrived);
-        self.shared.metrics.whole.observe(whole.as_secs_f64());
-        self.log_end("complete", endpoint, splitter);
+    /// Ends the stream without a fault of the endpoint.
+    fn abandon(&mut self, end: &str) -> ControlFlow<()> {
+        self.log_end(end);
+        if let Some(part) = self.current.take() {
+            part.close(AttemptEnd::Abandoned);
+        }
+        ControlFlow::Break(())
     }
 
-    /// Logs that the endpoint sent nothing for `limit`; `waited` is longer if the router was late.
-    fn log_silence(&self, limit: Duration, waited: Duration) {
+    /// Counts what followed the silence of an endpoint.
+    fn record_silence(&self, outcome: &str) {
+        let labels = EndLabels::new(outcome);
+        self.shared.metrics.silences.get_or_create(&labels).inc();
+    }
+
+    fn log_silence(&self, next: &str) {
         self.shared.log.write(
             "stream-silent",
             json!({
                 "request": self.request.number,
-                "endpoint": self.progress.endpoint.as_str(),
-                "limit_ms": limit.as_millis() as u64,
-                "waited_ms": waited.as_millis() as u64,
-                "received_ms": self.shared.now().since(self.last_received).as_millis() as u64,
+                "endpoint": self.endpoint.as_str(),
+                "silent_ms": self.silent_millis(),
+                "standby_ms": self.limits.standby.map(|limit| limit.as_millis() as u64),
+                "limit_ms": self.limits.end.as_millis() as u64,
                 "config": self.config_version,
+                "next": next,
             }),
         );
     }
 
-    fn log_end(&self, end: &str, endpoint: &EndpointId, splitter: &EventSplitter) {
+    fn log_end(&self, end: &str) {
         self.shared.log.write(
             "stream-end",
             json!({
                 "request": self.request.number,
                 "end": end,
-                "endpoint": endpoint.as_str(),
-                "events": splitter.events(),
-                "last_event": splitter.last_id(),
-                "received_ms": self.shared.now().since(self.last_received).as_millis() as u64,
+                "endpoint": self.endpoint.as_str(),
+                "events": self.splitter.events(),
+                "last_event": self.splitter.last_id(),
+                "silent_ms": self.silent_millis(),
                 "config": self.config_version,
                 "ms": self.shared.now().since(self.arrived).as_millis() as u64,
             }),
         );
     }
 
-    fn log_resumed(&self, endpoint: &EndpointId, after: Option<&str>) {
+    fn log_resumed(&self) {
+        let after = self.splitter.last_id().or(self.resume_after.as_deref());
         self.shared.log.write(
             "stream-resumed",
             json!({
                 "request": self.request.number,
-                "endpoint": endpoint.as_str(),
+                "endpoint": self.endpoint.as_str(),
                 "after_event": after,
+                "silent_ms": self.silent_millis(),
             }),
         );
     }
+
+    fn silent_millis(&self) -> u64 {
+        self.shared.now().since(self.last_event_at).as_millis() as u64
+    }
+}
+
+/// Waits for the next bytes of a part; forever without one.
+async fn frame_of(part: Option<&mut StreamPart>) -> PartFrame {
+    match part {
+        Some(part) => part.frame().await,
+        None => std::future::pending().await,
+    }
 }
