fix(gateway): the time in which a router is suspended is no silence of its endpoints

Callers of a router that had been suspended for 1.5 s got 502 or 504, or their streams were run at a second endpoint, although the answers had arrived.

Cause: when the process runs again, the limit on silence and the waiting bytes are due together, and the wait takes either branch. Class: the process's own delay is measured as the delay of another.

Limits on silence now give way to what has arrived (biased waits), and a timer that fires late allows 50 ms to read it first. It is extended once, so that an overloaded router keeps its limits.

--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -143,9 +143,10 @@
     head_timeout: Duration,
 ) -> Result<EndpointAnswer, AttemptFailure> {
     let exchange = exchange::<D>(shared, request, assignment, last_event_id);
-    match tokio::time::timeout(head_timeout, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(AttemptFailure::new(
+    tokio::select! {
+        biased;
+        result = exchange => result,
+        () = shared.wait_for_silence(head_timeout) => Err(AttemptFailure::new(
             AttemptEnd::Broken,
             "no response head before the timeout",
         )),
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -347,8 +347,10 @@
             return self.conclude::<D>(first.await, assignment, guard);
         }
         let limit = self.route.objective.mul_f64(STANDBY_FACTOR) + assignment.expected;
-        if let Ok(outcome) = tokio::time::timeout(limit, &mut first).await {
-            return self.conclude::<D>(outcome, assignment, guard);
+        tokio::select! {
+            biased;
+            outcome = &mut first => return self.conclude::<D>(outcome, assignment, guard),
+            () = self.shared.wait_for_silence(limit) => {}
         }
         let standby = guard.begin_standby();
         let next = standby
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -29,6 +29,12 @@
 /// overload.
 const LAG_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Delay of a timer above which the process counts as suspended while the timer ran.
+const LATE_TIMER: Duration = Duration::from_millis(50);
+
+/// Time to read what arrived while the process was suspended.
+const CATCH_UP_TIME: Duration = Duration::from_millis(50);
+
 /// Decision of the machine on a waiting request.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum StartVerdict {
@@ -192,6 +198,17 @@
         }
     }
 
+    /// Waits for `span`, as a limit on the silence of an endpoint.
+    ///
+    /// While the process is suspended, the endpoint is not silent: what it sent is read first.
+    pub(super) async fn wait_for_silence(&self, span: Duration) {
+        let due = self.now() + span;
+        tokio::time::sleep(span).await;
+        if self.now().since(due) > LATE_TIMER {
+            tokio::time::sleep(CATCH_UP_TIME).await;
+        }
+    }
+
     fn check_suspension(&self) {
         let mut suspension = self.suspension.get();
         let pause = suspension.tick(self.now());
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -166,11 +166,13 @@
         let wait = self.next_due().since(self.shared.now());
         let standby = self.standby.as_mut().map(|standby| &mut standby.part);
         tokio::select! {
+            // What has arrived goes before the limits.
+            biased;
             frame = frame_of(self.current.as_mut()) => RelayEvent::Current(frame),
             frame = frame_of(standby) => RelayEvent::Standby(frame),
             Some(Ok(end)) = self.resuming.join_next() => RelayEvent::Resumed(end),
             () = caller.closed() => RelayEvent::CallerLeft,
-            () = tokio::time::sleep(wait) => RelayEvent::TimerDue,
+            () = self.shared.wait_for_silence(wait) => RelayEvent::TimerDue,
         }
     }
 
