fix(gateway): the idle limit of a caller's connection is the one in force, or a longer one that callers may go by

Cause: hyper's header read timeout was set from the configuration in force at the accept and held for the life of the connection. After a change that raised the limit, callers met a close at the old one. Class of fault: a value of the configuration is copied at the start of something that outlives that configuration.

Change: the connection's task keeps the clock. The limit is the newest, or the longest that was in force since the connection became idle or within the bound on a new configuration and one second before. One timer and one task for each connection as before; the timer is moved when a request ends and set again when a raised limit is noticed, so that a change wakes no connection. A close is counted by its clock, and logged with limit, idle time and version if bytes of a request had arrived.

--- a/crates/cicadalock-node/src/callers/mod.rs
+++ b/crates/cicadalock-node/src/callers/mod.rs
@@ -22,5 +22,4 @@
 
 pub(crate) use body::{BodyError, read_body};
 pub use classify::parse_bearer;
-pub(crate) use drained_connection::serve_until_drained;
 pub use port::{CallerPort, PortBuilder};
--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -1,18 +1,21 @@
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use super::caller_activity::{CallerActivity, TrackedBody};
+use super::caller_connection::serve_until_closed;
+use super::caller_stream::CallerStream;
 use super::dialect::GatewayDialect;
 use super::serve::serve;
 use super::shared::GatewayShared;
-use crate::callers::serve_until_drained;
 use crate::process::SocketTimeouts;
 
 /// File descriptors reserved for files, listeners and the runtime.
@@ -101,13 +104,21 @@
         .as_ref()
         .map(|config| *config.limits());
     let limits = limits.unwrap_or_default();
-    let service = service_fn(|request| serve::<D>(Rc::clone(&shared), request));
+    let activity = CallerActivity::start();
+    let service = service_fn(|request| {
+        let running = activity.start_request();
+        let response = serve::<D>(Rc::clone(&shared), request);
+        async {
+            let response = response.await?;
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, running)))
+        }
+    });
+    let stream = CallerStream::new(stream, Rc::clone(&activity));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // hyper's header read timeout also runs while a connection is idle.
-        .header_read_timeout(limits.idle_timeout)
+        // hyper's timeout holds for the connection; the limits here follow the configuration.
+        .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    serve_until_drained(connection, &drain, &end).await;
+    serve_until_closed(&shared, connection, &activity, &drain, &end).await;
 }
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -0,0 +1,151 @@
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::Instant;
+
+use super::caller_limits::CallerTimeLimits;
+use super::stream_relay::{GatewayBody, IncompleteBody};
+
+/// What a caller's connection is doing, as seen by its stream and by the service of its requests.
+#[derive(Debug)]
+pub(super) struct CallerActivity {
+    is_running: Cell<bool>,
+    /// The accept, the end of the last answer, or the last byte written after it.
+    quiet_since: Cell<Instant>,
+    /// When the first byte of the next request arrived.
+    head_since: Cell<Option<Instant>>,
+}
+
+/// The clock that closes a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CloseClock {
+    /// No request for the idle limit.
+    Idle,
+}
+
+/// When a connection is to be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CloseDue {
+    pub(super) at: Instant,
+    pub(super) clock: CloseClock,
+    pub(super) limit: Duration,
+}
+
+/// A request that is running; it ends when this is dropped.
+#[derive(Debug)]
+pub(super) struct RunningRequest {
+    activity: Rc<CallerActivity>,
+}
+
+/// The body of an answer. Its request runs until it is dropped.
+#[derive(Debug)]
+pub(super) struct TrackedBody {
+    body: GatewayBody,
+    _running: RunningRequest,
+}
+
+impl CallerActivity {
+    /// Creates the record of a connection that is accepted now.
+    pub(super) fn start() -> Rc<Self> {
+        Rc::new(Self {
+            is_running: Cell::new(false),
+            quiet_since: Cell::new(Instant::now()),
+            head_since: Cell::new(None),
+        })
+    }
+
+    pub(super) fn start_request(self: &Rc<Self>) -> RunningRequest {
+        self.is_running.set(true);
+        self.head_since.set(None);
+        RunningRequest {
+            activity: Rc::clone(self),
+        }
+    }
+
+    pub(super) fn record_read(&self, bytes: &[u8]) {
+        let is_running = self.is_running.get();
+        // Empty lines may precede a request.
+        let is_head = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if !is_running && is_head && self.head_since.get().is_none() {
+            self.head_since.set(Some(Instant::now()));
+        }
+    }
+
+    pub(super) fn record_write(&self) {
+        if !self.is_running.get() {
+            self.quiet_since.set(Instant::now());
+        }
+    }
+
+    /// Returns whether bytes of a request that is not complete have arrived.
+    pub(super) fn has_begun_head(&self) -> bool {
+        self.head_since.get().is_some()
+    }
+
+    pub(super) fn idle_time(&self) -> Duration {
+        self.quiet_since.get().elapsed()
+    }
+
+    /// Returns when the connection is to be closed; `None` while a request runs.
+    pub(super) fn close_due(&self, limits: &CallerTimeLimits) -> Option<CloseDue> {
+        if self.is_running.get() {
+            return None;
+        }
+        let since = self.quiet_since.get();
+        let limit = limits.idle_since(since);
+        Some(CloseDue {
+            at: since + limit,
+            clock: CloseClock::Idle,
+            limit,
+        })
+    }
+}
+
+impl CloseClock {
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+        }
+    }
+}
+
+impl TrackedBody {
+    pub(super) const fn new(body: GatewayBody, running: RunningRequest) -> Self {
+        Self {
+            body,
+            _running: running,
+        }
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.activity.is_running.set(false);
+        self.activity.quiet_since.set(Instant::now());
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = IncompleteBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/caller_connection.rs
@@ -0,0 +1,85 @@
+use std::error::Error;
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+
+use hyper::body::{Body, Incoming};
+use hyper::rt::{Read, Write};
+use hyper::server::conn::http1::Connection;
+use hyper::service::HttpService;
+use serde_json::json;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use super::caller_activity::{CallerActivity, CloseDue};
+use super::gateway_metrics::ClockLabels;
+use super::shared::GatewayShared;
+
+/// Serves a caller's connection until it ends or its limits close it.
+///
+/// Once `drain` is cancelled, only the request in progress is completed. Once `end` is cancelled as
+/// well, the connection is dropped.
+pub(super) async fn serve_until_closed<I, S, B>(
+    shared: &Rc<GatewayShared>,
+    connection: Connection<I, S>,
+    activity: &CallerActivity,
+    drain: &CancellationToken,
+    end: &CancellationToken,
+) where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    I: Read + Write + Unpin,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut connection = pin!(connection);
+    let mut armed_for = Instant::now();
+    let mut timer = pin!(sleep_until(armed_for));
+    let (mut drain, mut end) = (pin!(drain.cancelled()), pin!(end.cancelled()));
+    let mut is_draining = false;
+    let closed = poll_fn(|context| {
+        if !is_draining && drain.as_mut().poll(context).is_ready() {
+            is_draining = true;
+            connection.as_mut().graceful_shutdown();
+        }
+        if is_draining && end.as_mut().poll(context).is_ready() {
+            return Poll::Ready(None);
+        }
+        // After a connection error the caller is gone, so there is nobody to report it to.
+        if connection.as_mut().poll(context).is_ready() {
+            return Poll::Ready(None);
+        }
+        let Some(due) = activity.close_due(&shared.caller_limits) else {
+            return Poll::Pending;
+        };
+        if armed_for != due.at {
+            armed_for = due.at;
+            timer.as_mut().reset(due.at);
+        }
+        timer.as_mut().poll(context).map(|()| Some(due))
+    });
+    if let Some(due) = closed.await {
+        report_close(shared, activity, due);
+    }
+}
+
+/// Counts a close, and logs it if bytes of a request had arrived.
+fn report_close(shared: &GatewayShared, activity: &CallerActivity, due: CloseDue) {
+    let clock = due.clock.name();
+    let labels = ClockLabels { clock };
+    shared.metrics.closes.get_or_create(&labels).inc();
+    if !activity.has_begun_head() {
+        return;
+    }
+    let config = shared.config.borrow();
+    shared.log.write(
+        "connection-closed",
+        json!({
+            "clock": clock,
+            "limit_ms": due.limit.as_millis() as u64,
+            "idle_ms": activity.idle_time().as_millis() as u64,
+            "config": config.as_ref().map(|config| config.version()),
+        }),
+    );
+}
--- /dev/null
+++ b/crates/cicadalock-node/src/gateway/caller_stream.rs
@@ -0,0 +1,75 @@
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::caller_activity::CallerActivity;
+
+/// A caller's connection, which records what is read and written.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    stream: TcpStream,
+    activity: Rc<CallerActivity>,
+}
+
+impl CallerStream {
+    pub(super) const fn new(stream: TcpStream, activity: Rc<CallerActivity>) -> Self {
+        Self { stream, activity }
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.activity.record_write();
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.activity.record_read(&buffer.filled()[before..]);
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(&written);
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.record_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -26,6 +26,8 @@
     pub(super) refused_parts: Family<PartLabels, Gauge>,
     /// Requests that are waiting or running in the gateway.
     pub(super) held: Gauge,
+    /// Callers' connections that the gateway closed, by the clock that closed them.
+    pub(super) closes: Family<ClockLabels, Counter>,
     /// Log lines that were dropped instead of written.
     pub(super) dropped_lines: Gauge,
     /// Delay of the runtime's timers, in seconds.
@@ -58,6 +60,12 @@
     pub(super) part: String,
 }
 
+/// Label for the clock that closed a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ClockLabels {
+    pub(super) clock: &'static str,
+}
+
 /// Label for the new state of an endpoint's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct StateLabels {
@@ -78,6 +86,7 @@
             endpoint_changes: Family::default(),
             refused_parts: Family::default(),
             held: Gauge::default(),
+            closes: Family::default(),
             dropped_lines: Gauge::default(),
             lag: latency(),
             wait: latency(),
@@ -113,6 +122,11 @@
             metrics.refused_parts.clone(),
         );
         registry.register("held", "Requests in the gateway", metrics.held.clone());
+        registry.register(
+            "closes",
+            "Callers' connections closed by a clock",
+            metrics.closes.clone(),
+        );
         registry.register(
             "dropped_lines",
             "Log lines not written",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -9,6 +9,10 @@
 mod accept;
 mod answer_buffer;
 mod attempt;
+mod caller_activity;
+mod caller_connection;
+mod caller_limits;
+mod caller_stream;
 mod connection_pool;
 mod crash_check;
 mod daemon;
@@ -20,6 +24,7 @@
 mod gateway_metrics;
 mod gateway_settings;
 mod head_gate;
+mod limit_history;
 mod metrics_port;
 mod platform_store;
 mod ready_port;
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::answer_buffer::AnswerBuffers;
+use super::caller_limits::CallerTimeLimits;
 use super::connection_pool::ConnectionPool;
 use super::desk_links::DeskLinks;
 use super::gateway_metrics::GatewayMetrics;
@@ -61,6 +62,7 @@
     pub(super) metrics: Arc<GatewayMetrics>,
     pub(super) machine: RefCell<GatewayMachine>,
     pub(super) config: RefCell<Option<Arc<ServingConfig>>>,
+    pub(super) caller_limits: CallerTimeLimits,
     pub(super) freshness: Cell<StoreFreshness>,
     pub(super) pool: ConnectionPool,
     pub(super) answer_buffers: AnswerBuffers,
@@ -91,6 +93,7 @@
             metrics: Arc::new(GatewayMetrics::new()),
             machine: RefCell::new(machine),
             config: RefCell::new(None),
+            caller_limits: CallerTimeLimits::default(),
             freshness: Cell::new(StoreFreshness::default()),
             pool: ConnectionPool::default(),
             answer_buffers: AnswerBuffers::default(),
@@ -272,6 +275,8 @@
     /// Applies what a read of the store changed to the configuration, the endpoints and the desks.
     pub(super) fn apply_store_update(self: &Rc<Self>, update: StoreUpdate) {
         if let Some(config) = update.config {
+            let bound = self.settings.borrow().times.config;
+            self.caller_limits.set(config.limits(), bound);
             *self.config.borrow_mut() = Some(config);
         }
         if let Some(confirmed_at) = update.confirmed_at {
