fix(gateway): the head of a request has its own limit, from its first byte

Cause: header_timeout_ms was read and never used; the idle limit covered idle time and head together. A head that began late in the idle time had only the rest of it, and one that trickled in was borne for the whole idle limit. Class of fault: one clock for two limits.

Change: from the first byte of a head that isn't an empty line, the head's limit holds in place of the idle limit, by the same rule: the newest, or a longer one that callers may go by.

--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -26,6 +26,8 @@
 pub(super) enum CloseClock {
     /// No request for the idle limit.
     Idle,
+    /// A head that was not complete within its limit.
+    Head,
 }
 
 /// When a connection is to be closed.
@@ -96,13 +98,23 @@
         if self.is_running.get() {
             return None;
         }
+        if let Some(since) = self.head_since.get() {
+            let limit = limits.head_since(since);
+            return Some(CloseDue::after(since, limit, CloseClock::Head));
+        }
         let since = self.quiet_since.get();
         let limit = limits.idle_since(since);
-        Some(CloseDue {
+        Some(CloseDue::after(since, limit, CloseClock::Idle))
+    }
+}
+
+impl CloseDue {
+    fn after(since: Instant, limit: Duration, clock: CloseClock) -> Self {
+        Self {
             at: since + limit,
-            clock: CloseClock::Idle,
+            clock,
             limit,
-        })
+        }
     }
 }
 
@@ -110,6 +122,7 @@
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::Idle => "idle",
+            Self::Head => "head",
         }
     }
 }
--- a/crates/cicadalock-node/src/gateway/caller_limits.rs
+++ b/crates/cicadalock-node/src/gateway/caller_limits.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Default)]
 pub(super) struct CallerTimeLimits {
     idle: RefCell<LimitHistory>,
+    head: RefCell<LimitHistory>,
 }
 
 impl CallerTimeLimits {
@@ -21,6 +22,7 @@
         let now = Instant::now();
         let until = now + config_bound + OVERLAP_MARGIN;
         self.idle.borrow_mut().set(limits.idle_timeout, until, now);
+        self.head.borrow_mut().set(limits.head_timeout, until, now);
     }
 
     /// Returns how long a connection may be idle that is idle since `since`.
@@ -28,4 +30,10 @@
         let default = CallerLimits::default().idle_timeout;
         self.idle.borrow().longest_since(since, default)
     }
+
+    /// Returns how long a request may take to send its head that begins at `since`.
+    pub(super) fn head_since(&self, since: Instant) -> Duration {
+        let default = CallerLimits::default().head_timeout;
+        self.head.borrow().longest_since(since, default)
+    }
 }
