fix(gateway): a request that the kernel has received is served when a limit passes

Cause: when the limit of a connection passes, the runtime may not have asked the kernel for its bytes yet: after the process stood still, or after a signal interrupted the wait, timers run before sockets. The connection was closed over a whole request. Class of fault: a deadline is judged by what the process has noticed, not by what had arrived.

Change: before a clock closes a connection, it is polled once more with a read of the socket itself. The connection stays open if bytes of a request were there.

--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -19,6 +19,8 @@
     quiet_since: Cell<Instant>,
     /// When the first byte of the next request arrived.
     head_since: Cell<Option<Instant>>,
+    /// Whether the next read asks the kernel itself; the runtime may not know of all received bytes.
+    reads_kernel: Cell<bool>,
 }
 
 /// The clock that closes a connection.
@@ -58,6 +60,7 @@
             is_running: Cell::new(false),
             quiet_since: Cell::new(Instant::now()),
             head_since: Cell::new(None),
+            reads_kernel: Cell::new(false),
         })
     }
 
@@ -69,6 +72,15 @@
         }
     }
 
+    /// Sets whether the next reads ask the kernel itself, and returns whether those before did.
+    pub(super) fn read_kernel(&self, reads_kernel: bool) -> bool {
+        self.reads_kernel.replace(reads_kernel)
+    }
+
+    pub(super) fn reads_kernel(&self) -> bool {
+        self.reads_kernel.get()
+    }
+
     pub(super) fn record_read(&self, bytes: &[u8]) {
         let is_running = self.is_running.get();
         // Empty lines may precede a request.
--- a/crates/cicadalock-node/src/gateway/caller_connection.rs
+++ b/crates/cicadalock-node/src/gateway/caller_connection.rs
@@ -2,7 +2,7 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Poll, ready};
 
 use hyper::body::{Body, Incoming};
 use hyper::rt::{Read, Write};
@@ -46,18 +46,25 @@
         if is_draining && end.as_mut().poll(context).is_ready() {
             return Poll::Ready(None);
         }
-        // After a connection error the caller is gone, so there is nobody to report it to.
-        if connection.as_mut().poll(context).is_ready() {
-            return Poll::Ready(None);
-        }
-        let Some(due) = activity.close_due(&shared.caller_limits) else {
-            return Poll::Pending;
-        };
-        if armed_for != due.at {
-            armed_for = due.at;
-            timer.as_mut().reset(due.at);
+        loop {
+            // After a connection error the caller is gone, so there is nobody to report it to.
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(None);
+            }
+            let has_read_kernel = activity.read_kernel(false);
+            let Some(due) = activity.close_due(&shared.caller_limits) else {
+                return Poll::Pending;
+            };
+            if armed_for != due.at {
+                armed_for = due.at;
+                timer.as_mut().reset(due.at);
+            }
+            ready!(timer.as_mut().poll(context));
+            if has_read_kernel {
+                return Poll::Ready(Some(due));
+            }
+            activity.read_kernel(true);
         }
-        timer.as_mut().poll(context).map(|()| Some(due))
     });
     if let Some(due) = closed.await {
         report_close(shared, activity, due);
--- a/crates/cicadalock-node/src/gateway/caller_stream.rs
+++ b/crates/cicadalock-node/src/gateway/caller_stream.rs
@@ -1,8 +1,9 @@
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice, Read};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -20,6 +21,19 @@
         Self { stream, activity }
     }
 
+    /// Reads bytes that the kernel has received and of which the runtime doesn't know yet.
+    fn read_kernel(&self, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let socket = SockRef::from(&self.stream);
+        match (&*socket).read(buffer.initialize_unfilled()) {
+            Ok(count) => {
+                buffer.advance(count);
+                Poll::Ready(Ok(()))
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Poll::Pending,
+            Err(error) => Poll::Ready(Err(error)),
+        }
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         if matches!(written, Poll::Ready(Ok(1..))) {
             self.activity.record_write();
@@ -34,7 +48,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if result.is_pending() && self.activity.reads_kernel() {
+            result = self.read_kernel(buffer);
+        }
         self.activity.record_read(&buffer.filled()[before..]);
         result
     }
