fix(gateway): a stopping router serves the requests that have arrived when it closes its connections

Cause: at the end of the delay after SIGTERM, every connection without a running request was closed by hyper at once, also over half a head or bytes that the kernel held, and the listener was closed over connections that waited to be accepted. Class of fault: idle is taken for a connection of which no head has been parsed.

Change: the drain is one more clock of the connection, so that the socket itself is read before the close. A head that has begun keeps its own limit, the connections that wait are accepted, and a new one has 500 ms for its first request. The end of the grace period bounds all of it. An answer that its caller still reads isn't cut by this clock.

--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -57,6 +57,7 @@
     let descriptors = shared.settings.borrow().descriptors;
     let spare = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
     let limit = (spare as f64 * CALLER_FRACTION) as usize;
+    let serve = |stream| serve_caller::<D>(Rc::clone(&shared), stream, drain.clone(), end.clone());
     let mut tasks = JoinSet::new();
     let crowded = (limit as f64 * CROWDED_FRACTION) as usize;
     loop {
@@ -68,12 +69,7 @@
         };
         match accepted {
             Ok((stream, _)) if tasks.len() < limit => {
-                tasks.spawn_local(serve_caller::<D>(
-                    Rc::clone(&shared),
-                    stream,
-                    drain.clone(),
-                    end.clone(),
-                ));
+                tasks.spawn_local(serve(stream));
             }
             Ok(_) => shared
                 .log
@@ -86,10 +82,23 @@
             }
         }
     }
-    drop(listener);
+    // Callers on connections that the kernel has accepted may have sent their request.
+    for stream in waiting_connections(listener).take(limit.saturating_sub(tasks.len())) {
+        tasks.spawn_local(serve(stream));
+    }
     while tasks.join_next().await.is_some() {}
 }
 
+/// Closes the listener and returns the connections that wait to be accepted.
+fn waiting_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    std::iter::from_fn(move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    })
+}
+
 /// Serves the requests on one caller's connection.
 async fn serve_caller<D: GatewayDialect>(
     shared: Rc<GatewayShared>,
--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -11,12 +11,20 @@
 use super::caller_limits::CallerTimeLimits;
 use super::stream_relay::{GatewayBody, IncompleteBody};
 
+/// Time in which the first request of a new connection arrives.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// What a caller's connection is doing, as seen by its stream and by the service of its requests.
 #[derive(Debug)]
 pub(super) struct CallerActivity {
     is_running: Cell<bool>,
     /// The accept, the end of the last answer, or the last byte written after it.
     quiet_since: Cell<Instant>,
+    has_received: Cell<bool>,
+    /// Whether bytes of an answer wait until the caller reads.
+    is_write_blocked: Cell<bool>,
+    /// Whether the process stops.
+    is_draining: Cell<bool>,
     /// When the first byte of the next request arrived.
     head_since: Cell<Option<Instant>>,
     /// Whether the next read asks the kernel itself; the runtime may not know of all received bytes.
@@ -30,6 +38,8 @@
     Idle,
     /// A head that was not complete within its limit.
     Head,
+    /// No request while the process stops.
+    Drain,
 }
 
 /// When a connection is to be closed.
@@ -59,6 +69,9 @@
         Rc::new(Self {
             is_running: Cell::new(false),
             quiet_since: Cell::new(Instant::now()),
+            has_received: Cell::new(false),
+            is_write_blocked: Cell::new(false),
+            is_draining: Cell::new(false),
             head_since: Cell::new(None),
             reads_kernel: Cell::new(false),
         })
@@ -83,6 +96,8 @@
 
     pub(super) fn record_read(&self, bytes: &[u8]) {
         let is_running = self.is_running.get();
+        self.has_received
+            .set(self.has_received.get() || !bytes.is_empty());
         // Empty lines may precede a request.
         let is_head = bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'));
         if !is_running && is_head && self.head_since.get().is_none() {
@@ -90,12 +105,24 @@
         }
     }
 
-    pub(super) fn record_write(&self) {
-        if !self.is_running.get() {
+    /// Records a write; `is_blocked` if nothing was written as the caller doesn't read.
+    pub(super) fn record_write(&self, is_blocked: bool) {
+        self.is_write_blocked.set(is_blocked);
+        if !is_blocked && !self.is_running.get() {
             self.quiet_since.set(Instant::now());
         }
     }
 
+    /// Closes the connection as soon as no request is on it.
+    pub(super) fn drain(&self) {
+        self.is_draining.set(true);
+    }
+
+    /// Returns whether a request runs on a connection that is to be closed.
+    pub(super) fn runs_last_request(&self) -> bool {
+        self.is_draining.get() && self.is_running.get()
+    }
+
     /// Returns whether bytes of a request that is not complete have arrived.
     pub(super) fn has_begun_head(&self) -> bool {
         self.head_since.get().is_some()
@@ -115,6 +142,14 @@
             return Some(CloseDue::after(since, limit, CloseClock::Head));
         }
         let since = self.quiet_since.get();
+        if self.is_draining.get() && !self.is_write_blocked.get() {
+            let limit = if self.has_received.get() {
+                Duration::ZERO
+            } else {
+                FIRST_REQUEST_WAIT
+            };
+            return Some(CloseDue::after(since, limit, CloseClock::Drain));
+        }
         let limit = limits.idle_since(since);
         Some(CloseDue::after(since, limit, CloseClock::Idle))
     }
@@ -135,6 +170,7 @@
         match self {
             Self::Idle => "idle",
             Self::Head => "head",
+            Self::Drain => "drain",
         }
     }
 }
--- a/crates/cicadalock-node/src/gateway/caller_connection.rs
+++ b/crates/cicadalock-node/src/gateway/caller_connection.rs
@@ -18,8 +18,8 @@
 
 /// Serves a caller's connection until it ends or its limits close it.
 ///
-/// Once `drain` is cancelled, only the request in progress is completed. Once `end` is cancelled as
-/// well, the connection is dropped.
+/// Once `drain` is cancelled, the connection closes after the request of which bytes have arrived, or at
+/// once. Once `end` is cancelled as well, the connection is dropped.
 pub(super) async fn serve_until_closed<I, S, B>(
     shared: &Rc<GatewayShared>,
     connection: Connection<I, S>,
@@ -38,10 +38,11 @@
     let mut timer = pin!(sleep_until(armed_for));
     let (mut drain, mut end) = (pin!(drain.cancelled()), pin!(end.cancelled()));
     let mut is_draining = false;
+    let mut is_last_request = false;
     let closed = poll_fn(|context| {
         if !is_draining && drain.as_mut().poll(context).is_ready() {
             is_draining = true;
-            connection.as_mut().graceful_shutdown();
+            activity.drain();
         }
         if is_draining && end.as_mut().poll(context).is_ready() {
             return Poll::Ready(None);
@@ -51,6 +52,15 @@
             if connection.as_mut().poll(context).is_ready() {
                 return Poll::Ready(None);
             }
+            if !is_last_request && activity.runs_last_request() {
+                // hyper closes the connection after the answer.
+                is_last_request = true;
+                connection.as_mut().graceful_shutdown();
+                continue;
+            }
+            if is_last_request {
+                return Poll::Pending;
+            }
             let has_read_kernel = activity.read_kernel(false);
             let Some(due) = activity.close_due(&shared.caller_limits) else {
                 return Poll::Pending;
--- a/crates/cicadalock-node/src/gateway/caller_stream.rs
+++ b/crates/cicadalock-node/src/gateway/caller_stream.rs
@@ -35,9 +35,7 @@
     }
 
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(1..))) {
-            self.activity.record_write();
-        }
+        self.activity.record_write(written.is_pending());
     }
 }
 
