fix(gateway): a request that still runs at the end of the grace period is refused

Cause: at the end of the grace period all connections were dropped; a caller whose answer had not begun saw the end of its connection and nothing else. Class of fault: a bound of the process ends a request on a way that writes no answer.

Change: a request without an answer is ended with 502, which promises nothing about its run, and each connection is polled once more to write it, before it is dropped. No time is added to the stop.

--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -116,7 +116,7 @@
     let activity = CallerActivity::start();
     let service = service_fn(|request| {
         let running = activity.start_request();
-        let response = serve::<D>(Rc::clone(&shared), request);
+        let response = serve::<D>(Rc::clone(&shared), request, &end);
         async {
             let response = response.await?;
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, running)))
--- a/crates/cicadalock-node/src/gateway/caller_connection.rs
+++ b/crates/cicadalock-node/src/gateway/caller_connection.rs
@@ -19,7 +19,7 @@
 /// Serves a caller's connection until it ends or its limits close it.
 ///
 /// Once `drain` is cancelled, the connection closes after the request of which bytes have arrived, or at
-/// once. Once `end` is cancelled as well, the connection is dropped.
+/// once. Once `end` is cancelled as well, the connection is dropped after its last answer.
 pub(super) async fn serve_until_closed<I, S, B>(
     shared: &Rc<GatewayShared>,
     connection: Connection<I, S>,
@@ -44,9 +44,7 @@
             is_draining = true;
             activity.drain();
         }
-        if is_draining && end.as_mut().poll(context).is_ready() {
-            return Poll::Ready(None);
-        }
+        let is_over = is_draining && end.as_mut().poll(context).is_ready();
         loop {
             // After a connection error the caller is gone, so there is nobody to report it to.
             if connection.as_mut().poll(context).is_ready() {
@@ -58,6 +56,10 @@
                 connection.as_mut().graceful_shutdown();
                 continue;
             }
+            if is_over {
+                // The poll has written the last answer.
+                return Poll::Ready(None);
+            }
             if is_last_request {
                 return Poll::Pending;
             }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
 use serde_json::json;
+use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{
@@ -68,24 +69,26 @@
     may_have_run: bool,
 }
 
-/// Serves one request of a caller.
+/// Serves one request of a caller; refuses it if it has no answer once `end` is cancelled.
 pub(super) async fn serve<D: GatewayDialect>(
     shared: Rc<GatewayShared>,
     request: Request<Incoming>,
+    end: &CancellationToken,
 ) -> Result<Response<GatewayBody>, Infallible> {
     let arrived = shared.now();
     let (parts, body) = request.into_parts();
     let fields = D::decode_request_fields(&parts.headers);
     let request_id = fields.request.clone().unwrap_or_default();
     let resolved = resolve_context(&shared, &parts, &fields, arrived);
-    let handler = match resolved {
-        Ok(context) => read_request(&shared, parts, body, fields, context).await,
-        Err(refusal) => Err(refusal),
-    };
-    let mut response = match handler {
-        Ok(handler) => handler.run::<D>().await,
-        Err(refusal) => refuse(&shared, &request_id, refusal, arrived),
+    let handled = async {
+        let handler = read_request(&shared, parts, body, fields, resolved?).await?;
+        Ok(handler.run::<D>().await)
     };
+    let grace_over = || Err(CallerRefusal::may_have_run(502, "grace-over"));
+    let handled = end.run_until_cancelled(handled).await;
+    let mut response = handled
+        .unwrap_or_else(grace_over)
+        .unwrap_or_else(|refusal| refuse(&shared, &request_id, refusal, arrived));
     if shared.should_shed_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
