fix(gateway): what a caller still sends doesn't reset the connection after its last answer

Cause: after an answer that ends the connection, the socket was closed with received bytes unread (the rest of a refused body, requests behind the last one). The kernel then resets the connection, the caller's next write fails and the answer may be lost. Class of fault: a close in both directions where only one is done.

Change: the sending side is closed first. Other connections are closed at once as before.

--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -14,7 +14,7 @@
 use super::caller_connection::serve_until_closed;
 use super::caller_stream::CallerStream;
 use super::dialect::GatewayDialect;
-use super::serve::serve;
+use super::serve::{UnreadBody, serve};
 use super::shared::GatewayShared;
 use crate::process::SocketTimeouts;
 
@@ -119,6 +119,9 @@
         let response = serve::<D>(Rc::clone(&shared), request, &end);
         async {
             let response = response.await?;
+            if response.extensions().get::<UnreadBody>().is_some() {
+                activity.expect_more();
+            }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, running)))
         }
     });
--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -14,6 +14,10 @@
 /// Time in which the first request of a new connection arrives.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time in which a caller may send on after the last answer. A close before would reset the connection,
+/// and the answer could be lost with it.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
 /// What a caller's connection is doing, as seen by its stream and by the service of its requests.
 #[derive(Debug)]
 pub(super) struct CallerActivity {
@@ -23,6 +27,10 @@
     has_received: Cell<bool>,
     /// Whether bytes of an answer wait until the caller reads.
     is_write_blocked: Cell<bool>,
+    /// Whether the caller may still send the body of a request that is answered.
+    expects_more: Cell<bool>,
+    /// When the sending side was closed, after the last answer.
+    closing_since: Cell<Option<Instant>>,
     /// Whether the process stops.
     is_draining: Cell<bool>,
     /// When the first byte of the next request arrived.
@@ -40,6 +48,8 @@
     Head,
     /// No request while the process stops.
     Drain,
+    /// The caller still sends after the last answer.
+    Linger,
 }
 
 /// When a connection is to be closed.
@@ -71,6 +81,8 @@
             quiet_since: Cell::new(Instant::now()),
             has_received: Cell::new(false),
             is_write_blocked: Cell::new(false),
+            expects_more: Cell::new(false),
+            closing_since: Cell::new(None),
             is_draining: Cell::new(false),
             head_since: Cell::new(None),
             reads_kernel: Cell::new(false),
@@ -79,6 +91,7 @@
 
     pub(super) fn start_request(self: &Rc<Self>) -> RunningRequest {
         self.is_running.set(true);
+        self.expects_more.set(false);
         self.head_since.set(None);
         RunningRequest {
             activity: Rc::clone(self),
@@ -113,6 +126,24 @@
         }
     }
 
+    /// Notes that the caller may still send the body of a request that is answered.
+    pub(super) fn expect_more(&self) {
+        self.expects_more.set(true);
+    }
+
+    pub(super) fn expects_more(&self) -> bool {
+        self.expects_more.get()
+    }
+
+    /// Notes that the sending side is closed; what the caller sends on is dropped.
+    pub(super) fn start_closing(&self) {
+        self.closing_since.set(Some(Instant::now()));
+    }
+
+    pub(super) fn is_closing(&self) -> bool {
+        self.closing_since.get().is_some()
+    }
+
     /// Closes the connection as soon as no request is on it.
     pub(super) fn drain(&self) {
         self.is_draining.set(true);
@@ -134,6 +165,9 @@
 
     /// Returns when the connection is to be closed; `None` while a request runs.
     pub(super) fn close_due(&self, limits: &CallerTimeLimits) -> Option<CloseDue> {
+        if let Some(since) = self.closing_since.get() {
+            return Some(CloseDue::after(since, LINGER_TIME, CloseClock::Linger));
+        }
         if self.is_running.get() {
             return None;
         }
@@ -171,6 +205,7 @@
             Self::Idle => "idle",
             Self::Head => "head",
             Self::Drain => "drain",
+            Self::Linger => "linger",
         }
     }
 }
--- a/crates/cicadalock-node/src/gateway/caller_connection.rs
+++ b/crates/cicadalock-node/src/gateway/caller_connection.rs
@@ -60,7 +60,7 @@
                 // The poll has written the last answer.
                 return Poll::Ready(None);
             }
-            if is_last_request {
+            if is_last_request && !activity.is_closing() {
                 return Poll::Pending;
             }
             let has_read_kernel = activity.read_kernel(false);
--- a/crates/cicadalock-node/src/gateway/caller_stream.rs
+++ b/crates/cicadalock-node/src/gateway/caller_stream.rs
@@ -1,7 +1,7 @@
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -9,16 +9,28 @@
 
 use super::caller_activity::CallerActivity;
 
+/// Maximum number of bytes that are received and dropped after the last answer.
+const MAX_LINGER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Size of the buffer for the bytes that are dropped.
+const LINGER_BUFFER_BYTES: usize = 4 * 1024;
+
 /// A caller's connection, which records what is read and written.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
     activity: Rc<CallerActivity>,
+    /// Bytes received and dropped after the last answer.
+    dropped_bytes: usize,
 }
 
 impl CallerStream {
     pub(super) const fn new(stream: TcpStream, activity: Rc<CallerActivity>) -> Self {
-        Self { stream, activity }
+        Self {
+            stream,
+            activity,
+            dropped_bytes: 0,
+        }
     }
 
     /// Reads bytes that the kernel has received and of which the runtime doesn't know yet.
@@ -34,6 +46,29 @@
         }
     }
 
+    /// Drops what the caller still sends, until it closes its side or more has come than the limit.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let mut space = [0; LINGER_BUFFER_BYTES];
+        while self.dropped_bytes < MAX_LINGER_BYTES {
+            let mut buffer = ReadBuf::new(&mut space);
+            let mut result = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
+            if result.is_pending() && !self.activity.expects_more() && self.dropped_bytes == 0 {
+                result = self.read_kernel(&mut buffer);
+                if result.is_pending() {
+                    return Poll::Ready(());
+                }
+            }
+            match ready!(result) {
+                Ok(()) if !buffer.filled().is_empty() => {
+                    self.dropped_bytes += buffer.filled().len();
+                }
+                // The caller has closed its side, or the connection is gone.
+                _ => return Poll::Ready(()),
+            }
+        }
+        Poll::Ready(())
+    }
+
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         self.activity.record_write(written.is_pending());
     }
@@ -71,7 +106,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if !self.activity.is_closing() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+            self.activity.start_closing();
+        }
+        self.poll_linger(context).map(Ok)
     }
 
     fn poll_write_vectored(
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use cicadalock_core::serving::{RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -57,6 +58,10 @@
     Failed(AttemptFailure, Option<BufferedAnswer>),
 }
 
+/// Marks an answer to a request whose body was not read to its end.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnreadBody;
+
 /// Runs one request: attempts, retries and the response to the caller.
 struct RequestHandler {
     shared: Rc<GatewayShared>,
@@ -80,8 +85,10 @@
     let fields = D::decode_request_fields(&parts.headers);
     let request_id = fields.request.clone().unwrap_or_default();
     let resolved = resolve_context(&shared, &parts, &fields, arrived);
+    let is_body_read = Cell::new(body.is_end_stream());
     let handled = async {
         let handler = read_request(&shared, parts, body, fields, resolved?).await?;
+        is_body_read.set(true);
         Ok(handler.run::<D>().await)
     };
     let grace_over = || Err(CallerRefusal::may_have_run(502, "grace-over"));
@@ -89,6 +96,9 @@
     let mut response = handled
         .unwrap_or_else(grace_over)
         .unwrap_or_else(|refusal| refuse(&shared, &request_id, refusal, arrived));
+    if !is_body_read.get() {
+        response.extensions_mut().insert(UnreadBody);
+    }
     if shared.should_shed_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
