fix(gateway): a caller beyond the connection limit is refused with an answer

Cause: connections beyond the limit were dropped at the accept; a request that had been sent met a reset. Class of fault: a limit that is kept by closing without an answer.

--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -14,7 +14,7 @@
 use super::caller_connection::serve_until_closed;
 use super::caller_stream::CallerStream;
 use super::dialect::GatewayDialect;
-use super::serve::{UnreadBody, serve};
+use super::serve::{UnreadBody, refuse_connection, serve};
 use super::shared::GatewayShared;
 use crate::process::SocketTimeouts;
 
@@ -29,6 +29,10 @@
 /// ones to other hosts.
 const CROWDED_FRACTION: f64 = 0.8;
 
+/// Maximum number of callers' connections beyond the limit whose request is refused; further ones are
+/// closed at once. They use some of the reserved descriptors.
+const MAX_REFUSED_CONNECTIONS: usize = 64;
+
 /// Closes the connection of a caller that does not acknowledge anything for ten seconds.
 const CALLER_TIMEOUTS: SocketTimeouts = SocketTimeouts {
     idle: Duration::from_secs(5),
@@ -57,7 +61,15 @@
     let descriptors = shared.settings.borrow().descriptors;
     let spare = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(1);
     let limit = (spare as f64 * CALLER_FRACTION) as usize;
-    let serve = |stream| serve_caller::<D>(Rc::clone(&shared), stream, drain.clone(), end.clone());
+    let serve = |stream, activity| {
+        serve_caller::<D>(
+            Rc::clone(&shared),
+            stream,
+            activity,
+            drain.clone(),
+            end.clone(),
+        )
+    };
     let mut tasks = JoinSet::new();
     let crowded = (limit as f64 * CROWDED_FRACTION) as usize;
     loop {
@@ -69,7 +81,10 @@
         };
         match accepted {
             Ok((stream, _)) if tasks.len() < limit => {
-                tasks.spawn_local(serve(stream));
+                tasks.spawn_local(serve(stream, CallerActivity::start()));
+            }
+            Ok((stream, _)) if tasks.len() < limit + MAX_REFUSED_CONNECTIONS => {
+                tasks.spawn_local(serve(stream, CallerActivity::start_refused()));
             }
             Ok(_) => shared
                 .log
@@ -84,7 +99,7 @@
     }
     // Callers on connections that the kernel has accepted may have sent their request.
     for stream in waiting_connections(listener).take(limit.saturating_sub(tasks.len())) {
-        tasks.spawn_local(serve(stream));
+        tasks.spawn_local(serve(stream, CallerActivity::start()));
     }
     while tasks.join_next().await.is_some() {}
 }
@@ -103,6 +118,7 @@
 async fn serve_caller<D: GatewayDialect>(
     shared: Rc<GatewayShared>,
     stream: TcpStream,
+    activity: Rc<CallerActivity>,
     drain: CancellationToken,
     end: CancellationToken,
 ) {
@@ -113,24 +129,28 @@
         .as_ref()
         .map(|config| *config.limits());
     let limits = limits.unwrap_or_default();
-    let activity = CallerActivity::start();
+    let (activity, end) = (&activity, &end);
     let service = service_fn(|request| {
         let running = activity.start_request();
-        let response = serve::<D>(Rc::clone(&shared), request, &end);
-        async {
-            let response = response.await?;
+        let shared = Rc::clone(&shared);
+        async move {
+            let response = if activity.is_refused() {
+                refuse_connection::<D>(&shared, &request)
+            } else {
+                serve::<D>(shared, request, end).await?
+            };
             if response.extensions().get::<UnreadBody>().is_some() {
                 activity.expect_more();
             }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, running)))
         }
     });
-    let stream = CallerStream::new(stream, Rc::clone(&activity));
+    let stream = CallerStream::new(stream, Rc::clone(activity));
     let connection = http1::Builder::new()
         // hyper's timeout holds for the connection; the limits here follow the configuration.
         .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    serve_until_closed(&shared, connection, &activity, &drain, &end).await;
+    serve_until_closed(&shared, connection, activity, &drain, end).await;
 }
--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -24,6 +24,8 @@
     is_running: Cell<bool>,
     /// The accept, the end of the last answer, or the last byte written after it.
     quiet_since: Cell<Instant>,
+    /// Whether the connection is beyond the limit, so that its request is refused.
+    is_refused: bool,
     has_received: Cell<bool>,
     /// Whether bytes of an answer wait until the caller reads.
     is_write_blocked: Cell<bool>,
@@ -50,6 +52,8 @@
     Drain,
     /// The caller still sends after the last answer.
     Linger,
+    /// No request on a connection beyond the limit.
+    Refused,
 }
 
 /// When a connection is to be closed.
@@ -76,7 +80,17 @@
 impl CallerActivity {
     /// Creates the record of a connection that is accepted now.
     pub(super) fn start() -> Rc<Self> {
+        Self::with_refusal(false)
+    }
+
+    /// Creates the record of a connection that is accepted now and whose request is refused.
+    pub(super) fn start_refused() -> Rc<Self> {
+        Self::with_refusal(true)
+    }
+
+    fn with_refusal(is_refused: bool) -> Rc<Self> {
         Rc::new(Self {
+            is_refused,
             is_running: Cell::new(false),
             quiet_since: Cell::new(Instant::now()),
             has_received: Cell::new(false),
@@ -98,6 +112,10 @@
         }
     }
 
+    pub(super) const fn is_refused(&self) -> bool {
+        self.is_refused
+    }
+
     /// Sets whether the next reads ask the kernel itself, and returns whether those before did.
     pub(super) fn read_kernel(&self, reads_kernel: bool) -> bool {
         self.reads_kernel.replace(reads_kernel)
@@ -184,6 +202,13 @@
             };
             return Some(CloseDue::after(since, limit, CloseClock::Drain));
         }
+        if self.is_refused {
+            return Some(CloseDue::after(
+                since,
+                FIRST_REQUEST_WAIT,
+                CloseClock::Refused,
+            ));
+        }
         let limit = limits.idle_since(since);
         Some(CloseDue::after(since, limit, CloseClock::Idle))
     }
@@ -206,6 +231,7 @@
             Self::Head => "head",
             Self::Drain => "drain",
             Self::Linger => "linger",
+            Self::Refused => "refused",
         }
     }
 }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -106,6 +106,23 @@
     Ok(response)
 }
 
+/// Refuses a request unread, as its connection is beyond the limit.
+pub(super) fn refuse_connection<D: GatewayDialect>(
+    shared: &GatewayShared,
+    request: &Request<Incoming>,
+) -> Response<GatewayBody> {
+    let fields = D::decode_request_fields(request.headers());
+    let request_id = fields.request.unwrap_or_default();
+    let refusal = CallerRefusal::not_run("too-many-connections", DEFAULT_RETRY_AFTER);
+    let mut response = refuse(shared, &request_id, refusal, shared.now());
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    if !request.body().is_end_stream() {
+        response.extensions_mut().insert(UnreadBody);
+    }
+    response
+}
+
 /// Configuration, route and customer that apply to a request.
 struct RequestContext {
     config: Arc<ServingConfig>,
