--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use cicadalock_core::serving::{RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -79,6 +80,10 @@
     outcome: AttemptOutcome,
 }
 
+/// Marks an answer to a request whose body was not read to its end.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnreadBody;
+
 /// Runs one request: attempts, retries and the response to the caller.
 struct RequestHandler {
     shared: Rc<GatewayShared>,
@@ -108,8 +113,10 @@
         is_answered: false,
     };
     let resolved = resolve_context(&shared, &parts, &fields, arrived);
+    let is_body_read = Cell::new(body.is_end_stream());
     let handled = async {
         let handler = read_request(&shared, parts, body, fields, resolved?).await?;
+        is_body_read.set(true);
         Ok(handler.run::<D>().await)
     };
     let grace_over = || Err(CallerRefusal::may_have_run(502, "grace-over"));
@@ -118,6 +125,9 @@
         .unwrap_or_else(grace_over)
         .unwrap_or_else(|refusal| refuse(&shared, &request_id, refusal, arrived));
     watch.is_answered = true;
+    if !is_body_read.get() {
+        response.extensions_mut().insert(UnreadBody);
+    }
     if shared.should_shed_connections() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -151,6 +161,23 @@
     }
 }
 
+/// Refuses a request unread, as its connection is beyond the limit.
+pub(super) fn refuse_connection<D: GatewayDialect>(
+    shared: &GatewayShared,
+    request: &Request<Incoming>,
+) -> Response<GatewayBody> {
+    let fields = D::decode_request_fields(request.headers());
+    let request_id = fields.request.unwrap_or_default();
+    let refusal = CallerRefusal::not_run("too-many-connections", DEFAULT_RETRY_AFTER);
+    let mut response = refuse(shared, &request_id, refusal, shared.now());
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    if !request.body().is_end_stream() {
+        response.extensions_mut().insert(UnreadBody);
+    }
+    response
+}
+
 /// Configuration, route and customer that apply to a request.
 struct RequestContext {
     config: Arc<ServingConfig>,
