feat: the era of the store is read from its answers

No logic uses the era yet. The documents and the clock of the follower's tests move to a module of their own, for the tests to come.

--- a/crates/cicadalock-core/src/id/mod.rs
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -14,6 +14,6 @@
 
 pub use name::{CustomerName, EndpointId, HostName, KindName, NameError, ServiceName, ZoneName};
 pub use number::{
-    CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision,
+    CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision, StoreEra,
 };
 pub use part::PartId;
--- a/crates/cicadalock-core/src/id/number.rs
+++ b/crates/cicadalock-core/src/id/number.rs
@@ -70,6 +70,11 @@
     /// Revision of a published document; a greater number is newer.
     Revision, u64
 }
+number_type! {
+    /// Era of the platform's store, within which revisions only rise; another era begins when the store
+    /// comes back from an older copy.
+    StoreEra, u64
+}
 number_type! {
     /// Fencing token of a sidecar, sent with each call so that the endpoint can refuse calls from an
     /// earlier sidecar.
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -37,6 +37,6 @@
 pub use event_splitter::EventSplitter;
 pub use gateway_settings::{GatewaySettings, GatewayTimes, SettingsBuilder};
 pub use platform_store::{
-    PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
+    EraError, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
 pub use store_follower::{FollowerTimes, StoreFollower, StoreUpdate};
--- a/crates/cicadalock-node/src/gateway/platform_store.rs
+++ b/crates/cicadalock-node/src/gateway/platform_store.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
 use std::time::Duration;
 
-use cicadalock_core::id::{EndpointId, Revision};
+use cicadalock_core::id::{EndpointId, Revision, StoreEra};
 use cicadalock_core::serving::{ListedEndpoint, RouteFinding, ServingConfig};
 use snafu::Snafu;
 
@@ -46,6 +47,8 @@
     pub next: Option<String>,
     /// Revision of the store when it answered.
     pub revision: Revision,
+    /// Era of the store when it answered, or the reason why it is unknown.
+    pub era: Result<StoreEra, EraError>,
 }
 
 /// A change of one document.
@@ -66,6 +69,22 @@
     pub changes: Vec<StoreChange>,
     /// Revision up to which the changes are complete.
     pub revision: Revision,
+    /// Era of the store when it answered, or the reason why it is unknown.
+    pub era: Result<StoreEra, EraError>,
+}
+
+/// Reason why an answer does not tell the era of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum EraError {
+    /// The answer names no era.
+    #[snafu(display("the store's answer names no era"))]
+    Missing,
+    /// What the answer names is not a number.
+    #[snafu(display("the era that the store names is not a number: `{text}`"))]
+    NotNumber {
+        /// Beginning of what the answer names.
+        text: Arc<str>,
+    },
 }
 
 /// Reason why a read of the store failed.
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -190,7 +190,9 @@
         clock: &impl Fn() -> ClockTime,
         update: &mut StoreUpdate,
     ) -> Result<ClockTime, StoreError> {
-        let StoreChanges { changes, revision } = self.store.changes(after, wait)?;
+        let StoreChanges {
+            changes, revision, ..
+        } = self.store.changes(after, wait)?;
         let is_unchanged = changes.is_empty();
         for change in changes {
             match change {
--- a/crates/cicadalock-node/tests/store_follower.rs
+++ b/crates/cicadalock-node/tests/store_follower.rs
@@ -1,26 +1,20 @@
 //! Tests the copy of the store's data while the store works, is unavailable, loses entries or
 //! discards its history.
 
-use std::cell::{Cell, RefCell};
+mod support;
+
+use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cicadalock_core::id::{EndpointId, Revision};
-use cicadalock_core::serving::{EndpointList, ListedEndpoint, ListingState, ServingConfig};
+use cicadalock_core::id::{Revision, StoreEra};
+use cicadalock_core::serving::ListingState;
 use cicadalock_core::time::ClockTime;
 use cicadalock_node::gateway::{
-    FollowerTimes, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError,
-    StoreFollower, StorePage,
-};
-
-const WAIT: Duration = Duration::from_millis(500);
-
-const TIMES: FollowerTimes = FollowerTimes {
-    wait: WAIT,
-    drain: Duration::from_millis(2_000),
+    PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StoreFollower, StorePage,
 };
+use support::{TIMES, WAIT, clock, config, endpoint, expiries, id, names, written, written_by};
 
 enum Answer {
     Page(Vec<StoreDocument>, Option<&'static str>),
@@ -64,6 +58,7 @@
                 documents,
                 next: next.map(str::to_owned),
                 revision: Revision::new(10),
+                era: Ok(StoreEra::new(1)),
             }),
             Answer::Fail(error) => Err(error),
             Answer::Changes(..) => panic!("a page was requested"),
@@ -76,6 +71,7 @@
             Answer::Changes(changes, revision) => Ok(StoreChanges {
                 changes,
                 revision: Revision::new(revision),
+                era: Ok(StoreEra::new(1)),
             }),
             Answer::Fail(error) => Err(error),
             Answer::Page(..) => panic!("changes were requested"),
@@ -83,62 +79,6 @@
     }
 }
 
-fn id(name: &str) -> EndpointId {
-    name.parse().expect("a valid name")
-}
-
-fn endpoint(name: &str, is_draining: bool) -> StoreDocument {
-    written_by(name, is_draining, 0, 1)
-}
-
-/// Returns the entry that a heartbeat of the process started at `started` wrote.
-fn written_by(name: &str, is_draining: bool, started: u64, heartbeat: u64) -> StoreDocument {
-    let listed = ListedEndpoint {
-        service: "model".parse().expect("a valid name"),
-        address: "127.0.0.1:9000".parse().expect("a valid address"),
-        zone: "z1".parse().expect("a valid name"),
-        slots: 8,
-        state: if is_draining {
-            ListingState::Draining
-        } else {
-            ListingState::Ready
-        },
-        cold_remaining: Duration::ZERO,
-        started,
-        heartbeat,
-    };
-    StoreDocument::Endpoint(id(name), Ok(listed))
-}
-
-fn config(version: u64) -> StoreDocument {
-    let config = ServingConfig::builder(version).build();
-    StoreDocument::Config(Box::new(config))
-}
-
-fn written(document: StoreDocument) -> StoreChange {
-    StoreChange::Written(document)
-}
-
-/// Returns a clock that reads the time set in the returned cell.
-fn clock() -> (Rc<Cell<u64>>, impl Fn() -> ClockTime) {
-    let millis = Rc::new(Cell::new(100_000));
-    let read = Rc::clone(&millis);
-    (millis, move || ClockTime::from_millis(read.get()))
-}
-
-/// Returns the time from which each missing endpoint counts as gone.
-fn expiries(list: &EndpointList) -> Vec<(&str, Option<ClockTime>)> {
-    let missing = list.iter().filter_map(|(id, listed)| match listed.state {
-        ListingState::Missing { until } => Some((id.as_str(), until)),
-        ListingState::Ready | ListingState::Draining => None,
-    });
-    missing.collect()
-}
-
-fn names(list: &EndpointList) -> Vec<&str> {
-    list.keys().map(EndpointId::as_str).collect()
-}
-
 #[test]
 fn every_page_is_read_and_then_only_changes() {
     let store = ScriptedStore::new(vec![
