fix(node): a store that comes back older is read again from the start, whatever its revisions say

Callers saw 404 on an added route, and 200 with a key that had been taken away, until the same document was written once more. Cause: how far the store had been read was its highest revision alone. A router that was cut off or frozen while the store came back, or whose call waited, asked for what came after that revision; the counter had passed it again, so there was no 410, and what had been written under the reused revisions never came. Change: the position in the store is its era and its revision. An answer of another era (higher, lower, two higher), or one whose revision is lower than the known one, has everything read again; the latter at most once a second, so that a store whose answers lag is not listed with each. An era that is missing says nothing; a missing or unreadable one is reported once. A first era after none counts as another, as it is not known what came before. New log line store-restored with both eras and revisions, counters store_listings and store_restores.

--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use cicadalock_core::id::StoreEra;
 use cicadalock_core::serving::ListingState;
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -20,6 +21,7 @@
 use super::ready_port::serve_ready;
 use super::shared::GatewayShared;
 use super::store_follower::{FollowerTimes, StoreFollower, StoreUpdate};
+use super::store_position::StorePosition;
 use crate::clock::ProcessClock;
 use crate::events::EventLog;
 use crate::process::{ProcessError, bind, run_logged};
@@ -47,7 +49,7 @@
 
 /// Message from another thread to the runtime.
 enum RuntimeMessage {
-    Store(StoreUpdate),
+    Store(Box<StoreUpdate>),
     Reload,
     Stop,
 }
@@ -130,7 +132,7 @@
     loop {
         tokio::select! {
             message = inbox.recv_async() => match message {
-                Ok(RuntimeMessage::Store(update)) => apply_update(shared, update),
+                Ok(RuntimeMessage::Store(update)) => apply_update(shared, *update),
                 Ok(RuntimeMessage::Reload) => reload::<D>(shared),
                 Ok(RuntimeMessage::Stop) | Err(_) => break,
             },
@@ -155,7 +157,7 @@
     let store_task = tokio::task::spawn_local(async move {
         while let Ok(message) = inbox.recv_async().await {
             if let RuntimeMessage::Store(update) = message {
-                apply_update(&store_shared, update);
+                apply_update(&store_shared, *update);
             }
         }
     });
@@ -201,6 +203,22 @@
             json!({"after_ms": outage, "revision": update.revision.get()}),
         );
     }
+    if update.is_listing {
+        shared.metrics.listings.inc();
+    }
+    if let Some(restored) = &update.restored {
+        shared.metrics.restores.inc();
+        let era = |position: StorePosition| position.era.map(StoreEra::get);
+        shared.log.write(
+            "store-restored",
+            json!({
+                "former_era": era(restored.former),
+                "era": era(restored.present),
+                "former_revision": restored.former.revision.get(),
+                "revision": restored.present.revision.get(),
+            }),
+        );
+    }
     for problem in &update.problems {
         shared.log.write(
             "store-problem",
@@ -287,7 +305,7 @@
                     (None, None) => Duration::ZERO,
                     (None, Some(_)) => pause.saturating_sub(clock.now().since(started_at)),
                 };
-                if sender.send(RuntimeMessage::Store(step)).is_err() {
+                if sender.send(RuntimeMessage::Store(Box::new(step))).is_err() {
                     return;
                 }
                 std::thread::sleep(pause);
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -20,6 +20,10 @@
     pub(super) connects: Counter,
     /// Reads of the store, by result.
     pub(super) reads: Family<EndLabels, Counter>,
+    /// Reads of all pages of the store.
+    pub(super) listings: Counter,
+    /// Times that the store was found to have come back from an older copy.
+    pub(super) restores: Counter,
     /// Changes of endpoints' entries, by the new state.
     pub(super) endpoint_changes: Family<StateLabels, Counter>,
     /// Parts of prompts that are refused now, with the number of crashes.
@@ -75,6 +79,8 @@
             repeats: Counter::default(),
             connects: Counter::default(),
             reads: Family::default(),
+            listings: Counter::default(),
+            restores: Counter::default(),
             endpoint_changes: Family::default(),
             refused_parts: Family::default(),
             held: Gauge::default(),
@@ -102,6 +108,16 @@
             metrics.connects.clone(),
         );
         registry.register("store_reads", "Reads of the store", metrics.reads.clone());
+        registry.register(
+            "store_listings",
+            "Reads of all pages of the store",
+            metrics.listings.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Returns of the store from an older copy",
+            metrics.restores.clone(),
+        );
         registry.register(
             "endpoint_changes",
             "Changes of endpoints' entries",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod serve;
 mod shared;
 mod store_follower;
+mod store_position;
 mod stream_relay;
 mod suspension;
 
@@ -40,3 +41,4 @@
     EraError, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
 pub use store_follower::{FollowerTimes, StoreFollower, StoreUpdate};
+pub use store_position::{StorePosition, StoreRestore};
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use cicadalock_core::collect::SortedMap;
-use cicadalock_core::id::{EndpointId, Revision};
+use cicadalock_core::id::{EndpointId, Revision, StoreEra};
 use cicadalock_core::serving::{
     EndpointList, ListedEndpoint, ListingState, RouteFinding, ServingConfig,
 };
@@ -10,8 +10,9 @@
 
 use super::endpoint_change::{ChangeKind, EndpointChange};
 use super::platform_store::{
-    PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
+    EraError, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
+use super::store_position::{StoreCourse, StorePosition, StoreRestore};
 
 /// Time after an outage of the store in which endpoints may renew entries that expired during it.
 ///
@@ -29,6 +30,11 @@
 /// Time beyond its wait after which a read counts as interrupted by a suspension of the process.
 const SLOW_READ_TIME: Duration = Duration::from_millis(700);
 
+/// Minimum time between two listings whose only reason is a revision that went back.
+///
+/// A store whose answers lag would otherwise be listed with every answer.
+const REVISION_BACK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time limits of a [`StoreFollower`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerTimes {
@@ -47,12 +53,17 @@
     pub endpoints: Option<EndpointList>,
     /// What changed in the entries of endpoints, in order; empty for the first complete read.
     pub changes: Vec<EndpointChange>,
-    /// Time up to which all changes are known; `None` if the read failed.
+    /// Time up to which all changes are known; `None` if the read failed or everything must be read
+    /// again.
     pub confirmed_at: Option<ClockTime>,
     /// Revision up to which the store was read; zero until all pages have been read.
     pub revision: Revision,
-    /// Errors in unusable entries and configurations, and [`StoreError::HistoryGone`].
+    /// Errors in unusable entries, configurations and eras, and [`StoreError::HistoryGone`].
     pub problems: Vec<String>,
+    /// Whether all pages were read.
+    pub is_listing: bool,
+    /// That the store came back from an older copy, with the read of all pages that followed.
+    pub restored: Option<StoreRestore>,
     /// Why the read failed, and whether it is the first failure since a successful read.
     ///
     /// [`StoreError::HistoryGone`] does not count as a failure; it is listed in `problems`.
@@ -66,11 +77,21 @@
 /// During an outage of the store, entries of endpoints expire because they cannot be renewed. An
 /// endpoint whose removal is seen right after an outage is therefore listed as missing until the
 /// endpoints had time to renew their entries, but not beyond the drain time after it may have left.
+///
+/// The store may also come back from an older copy and give out revisions again. An answer of another
+/// era, or with a lower revision than the known one, therefore makes it read everything again.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
     times: FollowerTimes,
-    revision: Option<Revision>,
+    /// How far the store was read last; `None` until all pages have been read once.
+    position: Option<StorePosition>,
+    /// Whether the next read has to read all pages.
+    must_list: bool,
+    /// When a revision that went back was the reason for the last listing.
+    revision_back_at: Option<ClockTime>,
+    /// The last problem with the store's era that was reported.
+    era_problem: Option<EraError>,
     config: Option<Arc<ServingConfig>>,
     endpoints: EndpointList,
     /// Last entries of endpoints that are no longer listed, and when they were dropped.
@@ -92,7 +113,10 @@
         Self {
             store,
             times,
-            revision: None,
+            position: None,
+            must_list: true,
+            revision_back_at: None,
+            era_problem: None,
             config: None,
             endpoints: SortedMap::new(),
             departed: SortedMap::new(),
@@ -110,9 +134,12 @@
     pub fn step(&mut self, clock: impl Fn() -> ClockTime) -> StoreUpdate {
         let started_at = clock();
         let mut update = StoreUpdate::default();
-        let read = match self.revision {
-            None => self.read_all(clock(), &mut update).map(|()| started_at),
-            Some(after) => {
+        let read = match self.position.filter(|_| !self.must_list) {
+            None => {
+                let listed = self.read_all(clock(), &mut update);
+                listed.map(|()| Some(started_at))
+            }
+            Some(position) => {
                 // After a failure or a suspension, refreshing stale data at once matters more than
                 // saving a call.
                 let is_stale = self.failing_since.is_some() || self.was_slow;
@@ -121,21 +148,23 @@
                 } else {
                     self.times.wait
                 };
-                self.read_changes(after, wait, started_at, &clock, &mut update)
+                self.read_changes(position, wait, started_at, &clock, &mut update)
             }
         };
         match read {
-            Ok(confirmed_at) => {
+            Ok(Some(confirmed_at)) => {
                 update.confirmed_at = Some(confirmed_at);
                 self.record_success(confirmed_at, clock(), &mut update);
             }
+            Ok(None) => self.must_list = true,
             Err(error) => self.record_failure(error, started_at, clock(), &mut update),
         }
         self.was_slow = clock().since(started_at) > self.times.wait + SLOW_READ_TIME;
         if self.failing_since.is_none() {
             self.drop_expired(clock(), &mut update);
         }
-        update.revision = self.revision.unwrap_or_default();
+        let position = self.position.filter(|_| !self.must_list);
+        update.revision = position.unwrap_or_default().revision;
         if std::mem::take(&mut self.has_endpoint_changes) {
             update.endpoints = Some(self.endpoints.clone());
         }
@@ -145,14 +174,15 @@
     /// Reads all pages and removes the endpoints that are on none of them.
     fn read_all(&mut self, now: ClockTime, update: &mut StoreUpdate) -> Result<(), StoreError> {
         let mut after: Option<String> = None;
-        let mut first_revision = None;
+        let mut first: Option<(Option<StoreEra>, Revision)> = None;
         let is_first = self.endpoints.is_empty();
         let mut listed_ids: Vec<EndpointId> = Vec::new();
         loop {
             let page: StorePage = self.store.page(after.as_deref())?;
             // The pages do not form a consistent snapshot. The next read of changes starts at the
             // revision of the first page, so it returns what changed while the others were read.
-            first_revision = first_revision.or(Some(page.revision));
+            let era = self.known_era(page.era, update);
+            first = first.or(Some((era, page.revision)));
             for document in page.documents {
                 if let StoreDocument::Endpoint(id, Ok(_)) = &document {
                     listed_ids.push(id.clone());
@@ -177,22 +207,86 @@
         if is_first {
             update.changes.clear();
         }
-        self.revision = first_revision;
+        if let Some((era, revision)) = first {
+            self.set_listed(era, revision, update);
+        }
         Ok(())
     }
 
-    /// Reads changes and returns the time up to which all changes are known.
+    /// Records that all pages were read, and reports whether the store came back since the last read.
+    fn set_listed(&mut self, era: Option<StoreEra>, revision: Revision, update: &mut StoreUpdate) {
+        let former = self.position;
+        let present = StorePosition {
+            era: era.or(former.and_then(|former| former.era)),
+            revision,
+        };
+        let former = former.filter(|known| known.course(era, revision) != StoreCourse::Forward);
+        update.restored = former.map(|former| StoreRestore { former, present });
+        update.is_listing = true;
+        self.position = Some(present);
+        self.must_list = false;
+    }
+
+    /// Returns the era, and reports once why it is unknown.
+    fn known_era(
+        &mut self,
+        era: Result<StoreEra, EraError>,
+        update: &mut StoreUpdate,
+    ) -> Option<StoreEra> {
+        let error = match era {
+            Ok(era) => return Some(era),
+            Err(error) => error,
+        };
+        let kind = std::mem::discriminant(&error);
+        let reported = self.era_problem.as_ref().map(std::mem::discriminant);
+        if reported != Some(kind) {
+            update.problems.push(error.to_string());
+            self.era_problem = Some(error);
+        }
+        None
+    }
+
+    /// Returns whether everything must be read again after an answer of the store.
+    fn is_restored(
+        &mut self,
+        known: StorePosition,
+        era: Option<StoreEra>,
+        revision: Revision,
+        now: ClockTime,
+    ) -> bool {
+        match known.course(era, revision) {
+            StoreCourse::Forward => false,
+            StoreCourse::OtherEra => true,
+            StoreCourse::RevisionBack => {
+                let last = self.revision_back_at;
+                let is_due = last.is_none_or(|last| now.since(last) >= REVISION_BACK_INTERVAL);
+                if is_due {
+                    self.revision_back_at = Some(now);
+                }
+                is_due
+            }
+        }
+    }
+
+    /// Reads changes and returns the time up to which all changes are known, or `None` if everything
+    /// must be read again.
     fn read_changes(
         &mut self,
-        after: Revision,
+        known: StorePosition,
         wait: Duration,
         started_at: ClockTime,
         clock: &impl Fn() -> ClockTime,
         update: &mut StoreUpdate,
-    ) -> Result<ClockTime, StoreError> {
+    ) -> Result<Option<ClockTime>, StoreError> {
         let StoreChanges {
-            changes, revision, ..
-        } = self.store.changes(after, wait)?;
+            changes,
+            revision,
+            era,
+        } = self.store.changes(known.revision, wait)?;
+        let era = self.known_era(era, update);
+        if self.is_restored(known, era, revision, clock()) {
+            return Ok(None);
+        }
         let is_unchanged = changes.is_empty();
         for change in changes {
             match change {
@@ -201,15 +295,18 @@
                 StoreChange::OtherRemoved => {}
             }
         }
-        self.revision = Some(self.revision.map_or(revision, |known| known.max(revision)));
+        self.position = Some(StorePosition {
+            revision: known.revision.max(revision),
+            ..known
+        });
         // If nothing changed, the store replied at the end of the wait, so the data was current
         // then. Time beyond `wait` is transit and does not count.
         let waited = clock().since(started_at).min(wait);
-        Ok(if is_unchanged {
+        Ok(Some(if is_unchanged {
             started_at + waited
         } else {
             started_at
-        })
+        }))
     }
 
     fn apply_document(&mut self, document: StoreDocument, update: &mut StoreUpdate) {
@@ -371,7 +468,7 @@
     ) {
         if matches!(error, StoreError::HistoryGone) {
             // The store is available but no longer has the changes; the next read reads all pages.
-            self.revision = None;
+            self.must_list = true;
             update.problems.push(error.to_string());
             return;
         }
