fix(node): pages of one listing are of one era, or the listing starts again

A router that listed the store while it came back from an older copy kept endpoints of before beside those of after, and took the first page's revision for all pages. Cause: pages were applied one by one, whatever store they came from. Change: all pages are read before any is applied. A page of another era, or with a lower revision than the first, has the pages read from the first on, three times at most; then the read counts as failed. The time to the first picture is the same, as updates were and are passed on only after the last page.

--- a/crates/cicadalock-node/src/gateway/platform_store.rs
+++ b/crates/cicadalock-node/src/gateway/platform_store.rs
@@ -106,6 +106,9 @@
     /// The store has discarded changes after the revision; everything must be read again.
     #[snafu(display("the store no longer has the changes after this revision"))]
     HistoryGone,
+    /// The store came back from an older copy each time while its pages were read.
+    #[snafu(display("the store came back from an older copy while its pages were read"))]
+    ListingChanged,
     /// The answer could not be decoded.
     #[snafu(display("cannot decode the store's answer: {problem}"))]
     Unreadable {
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -35,6 +35,9 @@
 /// A store whose answers lag would otherwise be listed with every answer.
 const REVISION_BACK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of times that the pages are read from the first one on before the read counts as failed.
+const LISTING_TRIES: usize = 3;
+
 /// Time limits of a [`StoreFollower`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerTimes {
@@ -106,6 +109,13 @@
     has_endpoint_changes: bool,
 }
 
+/// All documents of the store, from pages of one era.
+struct StoreListing {
+    documents: Vec<StoreDocument>,
+    /// How far the store was read with the first page.
+    position: StorePosition,
+}
+
 impl<S: PlatformStore> StoreFollower<S> {
     /// Creates a follower that has read nothing yet.
     #[must_use]
@@ -173,26 +183,14 @@
 
     /// Reads all pages and removes the endpoints that are on none of them.
     fn read_all(&mut self, now: ClockTime, update: &mut StoreUpdate) -> Result<(), StoreError> {
-        let mut after: Option<String> = None;
-        let mut first: Option<(Option<StoreEra>, Revision)> = None;
+        let listing = self.read_listing(update)?;
         let is_first = self.endpoints.is_empty();
         let mut listed_ids: Vec<EndpointId> = Vec::new();
-        loop {
-            let page: StorePage = self.store.page(after.as_deref())?;
-            // The pages do not form a consistent snapshot. The next read of changes starts at the
-            // revision of the first page, so it returns what changed while the others were read.
-            let era = self.known_era(page.era, update);
-            first = first.or(Some((era, page.revision)));
-            for document in page.documents {
-                if let StoreDocument::Endpoint(id, Ok(_)) = &document {
-                    listed_ids.push(id.clone());
-                }
-                self.apply_document(document, update);
-            }
-            match page.next {
-                Some(next) => after = Some(next),
-                None => break,
+        for document in listing.documents {
+            if let StoreDocument::Endpoint(id, Ok(_)) = &document {
+                listed_ids.push(id.clone());
             }
+            self.apply_document(document, update);
         }
         listed_ids.sort_unstable();
         let missing: Vec<EndpointId> = self
@@ -207,20 +205,55 @@
         if is_first {
             update.changes.clear();
         }
-        if let Some((era, revision)) = first {
-            self.set_listed(era, revision, update);
-        }
+        self.set_listed(listing.position, update);
         Ok(())
     }
 
+    /// Reads all pages, again from the first one if the store came back from an older copy meanwhile.
+    fn read_listing(&mut self, update: &mut StoreUpdate) -> Result<StoreListing, StoreError> {
+        for _ in 0..LISTING_TRIES {
+            if let Some(listing) = self.read_pages(update)? {
+                return Ok(listing);
+            }
+        }
+        Err(StoreError::ListingChanged)
+    }
+
+    /// Reads all pages; returns `None` if the store came back from an older copy meanwhile.
+    fn read_pages(&mut self, update: &mut StoreUpdate) -> Result<Option<StoreListing>, StoreError> {
+        let mut page: StorePage = self.store.page(None)?;
+        // The pages do not form a consistent snapshot. The next read of changes starts at the
+        // revision of the first page, so it returns what changed while the others were read.
+        let mut listing = StoreListing {
+            position: StorePosition {
+                era: self.known_era(page.era, update),
+                revision: page.revision,
+            },
+            documents: page.documents,
+        };
+        while let Some(after) = page.next {
+            page = self.store.page(Some(&after))?;
+            let era = self.known_era(page.era, update);
+            listing.position.era = listing.position.era.or(era);
+            if listing.position.course(era, page.revision) != StoreCourse::Forward {
+                return Ok(None);
+            }
+            listing.documents.append(&mut page.documents);
+        }
+        Ok(Some(listing))
+    }
+
     /// Records that all pages were read, and reports whether the store came back since the last read.
-    fn set_listed(&mut self, era: Option<StoreEra>, revision: Revision, update: &mut StoreUpdate) {
+    fn set_listed(&mut self, listed: StorePosition, update: &mut StoreUpdate) {
         let former = self.position;
         let present = StorePosition {
-            era: era.or(former.and_then(|former| former.era)),
-            revision,
+            era: listed.era.or(former.and_then(|former| former.era)),
+            ..listed
+        };
+        let is_forward = |known: &StorePosition| {
+            known.course(listed.era, listed.revision) == StoreCourse::Forward
         };
-        let former = former.filter(|known| known.course(era, revision) != StoreCourse::Forward);
+        let former = former.filter(|known| !is_forward(known));
         update.restored = former.map(|former| StoreRestore { former, present });
         update.is_listing = true;
         self.position = Some(present);
