fix(node): endpoints whose entry the store's return has lost are kept until they can write it again

Endpoints that joined in the lost seconds got no more requests as soon as a router had read the older copy, though they were sound and wrote their entry again within about two seconds. Cause: only after failed reads did an absent entry count as perhaps not renewed. Change: after a return, absent endpoints are missing, as after an outage, for 2.2 s, but not beyond the drain bound after the last read that confirmed them, as their removal may have been acknowledged; the whole time if nothing was read for longer than that bound. Draining endpoints are dropped at once, as before.

--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -14,7 +14,8 @@
 };
 use super::store_position::{StoreCourse, StorePosition, StoreRestore};
 
-/// Time after an outage of the store in which endpoints may renew entries that expired during it.
+/// Time after an outage of the store, or its return from an older copy, in which endpoints may renew
+/// entries that expired or were lost.
 ///
 /// The platform guarantees that endpoints renew them within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
@@ -82,7 +83,8 @@
 /// endpoints had time to renew their entries, but not beyond the drain time after it may have left.
 ///
 /// The store may also come back from an older copy and give out revisions again. An answer of another
-/// era, or with a lower revision than the known one, therefore makes it read everything again.
+/// era, or with a lower revision than the known one, therefore makes it read everything again. Endpoints
+/// that are not listed then are missing as after an outage.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
@@ -184,6 +186,11 @@
     /// Reads all pages and removes the endpoints that are on none of them.
     fn read_all(&mut self, now: ClockTime, update: &mut StoreUpdate) -> Result<(), StoreError> {
         let listing = self.read_listing(update)?;
+        self.set_listed(listing.position, update);
+        if update.restored.is_some() {
+            // Endpoints write entries again that the copy lacks.
+            self.grace_until = now + REREGISTRATION_GRACE;
+        }
         let is_first = self.endpoints.is_empty();
         let mut listed_ids: Vec<EndpointId> = Vec::new();
         for document in listing.documents {
@@ -205,7 +212,6 @@
         if is_first {
             update.changes.clear();
         }
-        self.set_listed(listing.position, update);
         Ok(())
     }
 
@@ -398,7 +404,11 @@
     fn remove_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
         let is_outage = self.failing_since.is_some();
         // The end of an outage sets the time.
-        let until = (!is_outage).then_some(self.grace_until.min(self.removal_due()));
+        let until = (!is_outage).then_some(if self.is_outage_long(now) {
+            self.grace_until
+        } else {
+            self.grace_until.min(self.removal_due())
+        });
         let Some(listed) = self.endpoints.get_mut(&id) else {
             return;
         };
