fix(node): entries of the store's older copy that are older than what was seen do not count

Endpoints that had left were listed as ready again after the store's return, and in the test they got every request, 40 of 40; an entry of an earlier process took the place of a newer one, with its former address. Cause: entries were compared by their heartbeat within one process only, and the last entry of an endpoint that had left counted as a new one. Change: an entry of an earlier start, or of an earlier heartbeat of the same start, is outdated; in a copy also the very last entry of an endpoint that has left. Outside a copy, an entry of an earlier start that says draining is believed. It does not show the fault in routers that keep connections to the new address.

--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -292,6 +292,7 @@
     let times = FollowerTimes {
         wait: settings.times.store_wait(),
         drain: settings.times.drain,
+        lease: settings.times.lease(),
     };
     let mut follower = StoreFollower::new(D::open_store(settings), times);
     std::thread::Builder::new()
--- a/crates/cicadalock-node/src/gateway/endpoint_change.rs
+++ b/crates/cicadalock-node/src/gateway/endpoint_change.rs
@@ -8,7 +8,7 @@
     Ready,
     /// It was written and says that the endpoint is shutting down.
     Draining,
-    /// It was written by an earlier heartbeat than the last known one; the write was ignored.
+    /// It is of an earlier process or heartbeat than the last known one, and is ignored for a while.
     Outdated,
     /// It was replaced by one that cannot be decoded.
     Unreadable,
--- a/crates/cicadalock-node/src/gateway/gateway_settings.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_settings.rs
@@ -162,6 +162,12 @@
         self.revocation.mul_f64(0.3).min(changes)
     }
 
+    /// Returns the time of silence after which the store removes the entry of an endpoint.
+    #[must_use]
+    pub fn lease(&self) -> Duration {
+        self.heartbeat * 3
+    }
+
     /// Returns the minimum time between the starts of two reads of the store.
     ///
     /// This is a quarter of the tighter of the bounds on `config` and `drain`, so that a lost answer,
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -46,6 +46,8 @@
     pub wait: Duration,
     /// Time after its removal or draining in which an endpoint may still receive requests.
     pub drain: Duration,
+    /// Time of silence after which the store removes the entry of an endpoint.
+    pub lease: Duration,
 }
 
 /// Result of one read of the store.
@@ -84,7 +86,8 @@
 ///
 /// The store may also come back from an older copy and give out revisions again. An answer of another
 /// era, or with a lower revision than the known one, therefore makes it read everything again. Endpoints
-/// that are not listed then are missing as after an outage.
+/// that are not listed then are missing as after an outage, and entries that are older than what was seen
+/// do not count, unless the store keeps them for longer than one that nobody renews.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
@@ -101,6 +104,8 @@
     endpoints: EndpointList,
     /// Last entries of endpoints that are no longer listed, and when they were dropped.
     departed: SortedMap<EndpointId, (ListedEndpoint, ClockTime)>,
+    /// Entries that look older than what was seen before, and since when the store shows them.
+    doubted: SortedMap<EndpointId, (ListedEndpoint, ClockTime)>,
     /// Start of the last read that was successful; all earlier changes are known.
     confirmed_at: ClockTime,
     /// Start of the first failed read since the last successful one.
@@ -132,6 +137,7 @@
             config: None,
             endpoints: SortedMap::new(),
             departed: SortedMap::new(),
+            doubted: SortedMap::new(),
             confirmed_at: ClockTime::default(),
             failing_since: None,
             grace_until: ClockTime::default(),
@@ -197,9 +203,11 @@
             if let StoreDocument::Endpoint(id, Ok(_)) = &document {
                 listed_ids.push(id.clone());
             }
-            self.apply_document(document, update);
+            self.apply_document(document, now, update);
         }
         listed_ids.sort_unstable();
+        self.doubted
+            .retain(|id, _| listed_ids.binary_search(id).is_ok());
         let missing: Vec<EndpointId> = self
             .endpoints
             .keys()
@@ -329,7 +337,7 @@
         let is_unchanged = changes.is_empty();
         for change in changes {
             match change {
-                StoreChange::Written(document) => self.apply_document(document, update),
+                StoreChange::Written(document) => self.apply_document(document, clock(), update),
                 StoreChange::EndpointRemoved(id) => self.remove_endpoint(id, clock(), update),
                 StoreChange::OtherRemoved => {}
             }
@@ -348,7 +356,12 @@
         }))
     }
 
-    fn apply_document(&mut self, document: StoreDocument, update: &mut StoreUpdate) {
+    fn apply_document(
+        &mut self,
+        document: StoreDocument,
+        now: ClockTime,
+        update: &mut StoreUpdate,
+    ) {
         match document {
             StoreDocument::Config(config) => match *config {
                 Ok(config) => self.apply_config(config, update),
@@ -357,20 +370,17 @@
                     update.problems.extend(findings);
                 }
             },
-            StoreDocument::Endpoint(id, Ok(endpoint)) if self.is_outdated(&id, &endpoint) => {
-                let change = EndpointChange::new(id, ChangeKind::Outdated, &endpoint);
-                update.changes.push(change);
-            }
             StoreDocument::Endpoint(id, Ok(endpoint)) => {
-                if self.endpoints.get(&id) != Some(&endpoint) {
-                    update
-                        .changes
-                        .push(EndpointChange::of(id.clone(), &endpoint));
-                    self.endpoints.insert(id, endpoint);
-                    self.has_endpoint_changes = true;
+                // A copy may hold the last entry of an endpoint that has left since.
+                let is_copy = update.restored.is_some();
+                if self.is_outdated(&id, &endpoint, is_copy) {
+                    self.doubt_endpoint(id, endpoint, now, update);
+                } else {
+                    self.set_endpoint(id, endpoint, update);
                 }
             }
             StoreDocument::Endpoint(id, Err(problem)) => {
+                self.doubted.remove(&id);
                 update.problems.push(format!("endpoint `{id}`: {problem}"));
                 self.drop_endpoint(id, ChangeKind::Unreadable, update);
             }
@@ -378,13 +388,46 @@
         }
     }
 
-    /// Returns whether an entry is older than one that the same process of the endpoint wrote.
-    fn is_outdated(&self, id: &EndpointId, entry: &ListedEndpoint) -> bool {
-        let departed = || self.departed.get(id).map(|(last, _)| last);
-        let last = self.endpoints.get(id).or_else(departed);
-        last.is_some_and(|last| {
-            last.started != 0 && last.started == entry.started && entry.heartbeat < last.heartbeat
-        })
+    fn set_endpoint(&mut self, id: EndpointId, entry: ListedEndpoint, update: &mut StoreUpdate) {
+        self.doubted.remove(&id);
+        if self.endpoints.get(&id) != Some(&entry) {
+            update.changes.push(EndpointChange::of(id.clone(), &entry));
+            self.endpoints.insert(id, entry);
+            self.has_endpoint_changes = true;
+        }
+    }
+
+    /// Ignores an entry that looks older than what was seen, for as long as the store may keep one
+    /// that nobody renews.
+    fn doubt_endpoint(
+        &mut self,
+        id: EndpointId,
+        entry: ListedEndpoint,
+        now: ClockTime,
+        update: &mut StoreUpdate,
+    ) {
+        let change = EndpointChange::new(id.clone(), ChangeKind::Outdated, &entry);
+        update.changes.push(change);
+        let since = self.doubted.get(&id).map_or(now, |(_, since)| *since);
+        self.doubted.insert(id, (entry, since));
+    }
+
+    /// Returns whether an entry is older than the last one of the endpoint, by an earlier process or an
+    /// earlier heartbeat; in a copy, also whether it is the last entry of an endpoint that left.
+    fn is_outdated(&self, id: &EndpointId, entry: &ListedEndpoint, is_copy: bool) -> bool {
+        let listed = self.endpoints.get(id);
+        let departed = self.departed.get(id).map(|(last, _)| last);
+        let Some(last) = listed.or(departed) else {
+            return false;
+        };
+        let age = |endpoint: &ListedEndpoint| (endpoint.started, endpoint.heartbeat);
+        let has_left = is_copy && listed.is_none();
+        let is_older = age(entry) < age(last) || (has_left && age(entry) == age(last));
+        // The start of a process is read from a clock that may be set back. Whoever says that it leaves
+        // is believed, except in a copy.
+        let is_leaving = entry.state == ListingState::Draining && entry.started != last.started;
+        let is_comparable = last.started != 0 && entry.started != 0 && (is_copy || !is_leaving);
+        is_older && is_comparable
     }
 
     fn apply_config(&mut self, config: ServingConfig, update: &mut StoreUpdate) {
@@ -403,6 +446,7 @@
 
     fn remove_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
         let is_outage = self.failing_since.is_some();
+        self.doubted.remove(&id);
         // The end of an outage sets the time.
         let until = (!is_outage).then_some(if self.is_outage_long(now) {
             self.grace_until
@@ -440,7 +484,7 @@
         }
     }
 
-    /// Drops the missing endpoints whose time is over.
+    /// Drops the missing endpoints whose time is over, and takes older entries that the store keeps.
     fn drop_expired(&mut self, now: ClockTime, update: &mut StoreUpdate) {
         let expired = self
             .endpoints
@@ -450,6 +494,18 @@
         for id in expired {
             self.forget_endpoint(id, now, update);
         }
+        let is_true =
+            |since: ClockTime| now.since(since) >= self.times.lease + REREGISTRATION_GRACE;
+        let renewed = self
+            .doubted
+            .iter()
+            .filter(|(_, (_, since))| is_true(*since));
+        let renewed: Vec<(EndpointId, ListedEndpoint)> = renewed
+            .map(|(id, (entry, _))| (id.clone(), entry.clone()))
+            .collect();
+        for (id, entry) in renewed {
+            self.set_endpoint(id, entry, update);
+        }
         self.departed
             .retain(|_, (_, dropped_at)| now.since(*dropped_at) < DEPARTED_MEMORY);
     }
@@ -485,6 +541,9 @@
                 let due = self.grace_until.min(self.removal_due());
                 self.set_expiry(Some(due), |until| until.is_none());
             }
+            for (_, shown_since) in self.doubted.values_mut() {
+                *shown_since = now;
+            }
             update.ended_outage = Some(now.since(since));
         }
         self.confirmed_at = confirmed_at;
--- a/crates/cicadalock-node/tests/restored_store.rs
+++ b/crates/cicadalock-node/tests/restored_store.rs
@@ -514,6 +514,21 @@
     assert_eq!(address.as_deref(), Some("127.0.0.1:9002"));
 }
 
+/// Guards against requests to a leaving process whose host has set its clock back.
+#[test]
+fn a_process_of_an_earlier_start_that_says_that_it_leaves_is_believed() {
+    let mut follow = Follow::new(vec![
+        Answer::page(4, 10, vec![written_by("a", false, 9, 1)]),
+        Answer::changes(4, 11, vec![written(written_by("a", false, 7, 1))]),
+        Answer::changes(4, 12, vec![written(written_by("a", true, 7, 2))]),
+    ]);
+    let updates = follow.run(2);
+    let kinds = updates[1].changes.iter().map(|change| change.kind);
+    assert_eq!(kinds.collect::<Vec<_>>(), [ChangeKind::Outdated]);
+    let update = follow.step();
+    assert_eq!(state_of(&[update], "a"), Some(ListingState::Draining));
+}
+
 /// Guards against losing an endpoint for good whose entry looks older than one that was seen.
 #[test]
 fn an_older_entry_that_the_store_keeps_past_its_lease_is_true_after_all() {
--- a/crates/cicadalock-node/tests/support/mod.rs
+++ b/crates/cicadalock-node/tests/support/mod.rs
@@ -15,6 +15,7 @@
 pub const TIMES: FollowerTimes = FollowerTimes {
     wait: WAIT,
     drain: Duration::from_millis(2_000),
+    lease: Duration::from_millis(3_000),
 };
 
 pub fn id(name: &str) -> EndpointId {
