fix(node): a version that was written again with other contents is in force, and a store that shows an older one is reported

Callers saw 404 on a route of the newest configuration, and 200 with a key that it did not hold, for as long as its version was not exceeded: the operators had written a lost version again with other contents. Cause: versions were compared by their number alone. Nothing was logged while the store showed an older version than the one in force. Change: the configuration in force and what the store shows beside it are a ConfigRecord. An older version is still never taken. After the store's return, other contents of the version in force are taken, once, but never such as were replaced under this version before, which a second and older copy may show. Log lines config-behind, when the store shows an older version, and config-caught-up; gauge config_behind.

--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::accept::accept_all;
+use super::config_record::ConfigCourse;
 use super::dialect::GatewayDialect;
 use super::gateway_metrics::{EndLabels, StateLabels};
 use super::gateway_settings::GatewaySettings;
@@ -231,6 +232,9 @@
             json!({"version": config.version(), "routes": config.routes().len(), "revision": update.revision.get()}),
         );
     }
+    if let Some(course) = update.config_course {
+        log_config_course(shared, course);
+    }
     for change in &update.changes {
         let state = change.kind.name();
         shared
@@ -262,6 +266,23 @@
     shared.apply_store_update(update);
 }
 
+fn log_config_course(shared: &GatewayShared, course: ConfigCourse) {
+    match course {
+        ConfigCourse::Behind { version, shown } => {
+            shared.metrics.is_config_behind.set(1);
+            shared
+                .log
+                .write("config-behind", json!({"version": version, "shown": shown}));
+        }
+        ConfigCourse::CaughtUp { version } => {
+            shared.metrics.is_config_behind.set(0);
+            shared
+                .log
+                .write("config-caught-up", json!({"version": version}));
+        }
+    }
+}
+
 /// Reads the settings again; keeps the current ones if the new ones are unusable.
 fn reload<D: GatewayDialect>(shared: &GatewayShared) {
     match D::load_settings() {
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -24,6 +24,8 @@
     pub(super) listings: Counter,
     /// Times that the store was found to have come back from an older copy.
     pub(super) restores: Counter,
+    /// 1 while the store shows an older configuration than the one in force.
+    pub(super) is_config_behind: Gauge,
     /// Changes of endpoints' entries, by the new state.
     pub(super) endpoint_changes: Family<StateLabels, Counter>,
     /// Parts of prompts that are refused now, with the number of crashes.
@@ -81,6 +83,7 @@
             reads: Family::default(),
             listings: Counter::default(),
             restores: Counter::default(),
+            is_config_behind: Gauge::default(),
             endpoint_changes: Family::default(),
             refused_parts: Family::default(),
             held: Gauge::default(),
@@ -118,6 +121,11 @@
             "Returns of the store from an older copy",
             metrics.restores.clone(),
         );
+        registry.register(
+            "config_behind",
+            "Whether the store shows an older configuration than the one in force",
+            metrics.is_config_behind.clone(),
+        );
         registry.register(
             "endpoint_changes",
             "Changes of endpoints' entries",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod accept;
 mod answer_buffer;
 mod attempt;
+mod config_record;
 mod connection_pool;
 mod crash_check;
 mod daemon;
@@ -32,6 +33,7 @@
 mod stream_relay;
 mod suspension;
 
+pub use config_record::ConfigCourse;
 pub use daemon::run_gateway;
 pub use dialect::{AnswerFields, ForwardContext, GatewayDialect, RequestFields};
 pub use endpoint_change::{ChangeKind, EndpointChange};
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -8,6 +8,7 @@
 };
 use cicadalock_core::time::ClockTime;
 
+use super::config_record::{ConfigCourse, ConfigRecord};
 use super::endpoint_change::{ChangeKind, EndpointChange};
 use super::platform_store::{
     EraError, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
@@ -53,8 +54,11 @@
 /// Result of one read of the store.
 #[derive(Debug, Default)]
 pub struct StoreUpdate {
-    /// The new configuration, if its version is newer than the last one.
+    /// The new configuration, if its version is newer than the last one, or if it was written again with
+    /// other contents after the store came back from an older copy.
     pub config: Option<Arc<ServingConfig>>,
+    /// That the store fell behind the version in force, or caught up.
+    pub config_course: Option<ConfigCourse>,
     /// All endpoints, if any of them or the configuration changed.
     pub endpoints: Option<EndpointList>,
     /// What changed in the entries of endpoints, in order; empty for the first complete read.
@@ -100,7 +104,7 @@
     revision_back_at: Option<ClockTime>,
     /// The last problem with the store's era that was reported.
     era_problem: Option<EraError>,
-    config: Option<Arc<ServingConfig>>,
+    config: ConfigRecord,
     endpoints: EndpointList,
     /// Last entries of endpoints that are no longer listed, and when they were dropped.
     departed: SortedMap<EndpointId, (ListedEndpoint, ClockTime)>,
@@ -134,7 +138,7 @@
             must_list: true,
             revision_back_at: None,
             era_problem: None,
-            config: None,
+            config: ConfigRecord::default(),
             endpoints: SortedMap::new(),
             departed: SortedMap::new(),
             doubted: SortedMap::new(),
@@ -183,6 +187,7 @@
         }
         let position = self.position.filter(|_| !self.must_list);
         update.revision = position.unwrap_or_default().revision;
+        update.config_course = self.config.take_course();
         if std::mem::take(&mut self.has_endpoint_changes) {
             update.endpoints = Some(self.endpoints.clone());
         }
@@ -194,6 +199,7 @@
         let listing = self.read_listing(update)?;
         self.set_listed(listing.position, update);
         if update.restored.is_some() {
+            self.config.begin_era();
             // Endpoints write entries again that the copy lacks.
             self.grace_until = now + REREGISTRATION_GRACE;
         }
@@ -431,13 +437,7 @@
     }
 
     fn apply_config(&mut self, config: ServingConfig, update: &mut StoreUpdate) {
-        let is_newer = self
-            .config
-            .as_ref()
-            .is_none_or(|known| config.version() > known.version());
-        if is_newer {
-            let config = Arc::new(config);
-            self.config = Some(Arc::clone(&config));
+        if let Some(config) = self.config.offer(config) {
             update.config = Some(config);
             // Endpoints' capacity depends on the configuration, so the list is reported again.
             self.has_endpoint_changes = true;
