fix(node): a kept connection to where an endpoint was is not used once it has moved

Cause: kept connections were found by the endpoint's id alone. Class: a name taken for a place. An address may belong to another service by then; the expected instance in each request protects from that, not from a former process of the same id. Change: a connection knows its address. Those that lead elsewhere are closed with the list that says so, and one that was in use meanwhile is not kept.

--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ConnectionPool {
     kept: RefCell<SortedMap<EndpointId, Vec<IdleConnection>>>,
+    /// Addresses of the listed endpoints.
+    addresses: RefCell<SortedMap<EndpointId, SocketAddr>>,
 }
 
 #[derive(Debug)]
@@ -61,6 +63,7 @@
 #[derive(Debug)]
 pub(super) struct EndpointConnection {
     sender: SendRequest<Full<Bytes>>,
+    address: SocketAddr,
     pub(super) is_reused: bool,
     gate: Rc<HeadGate>,
     _driver: DriverHandle,
@@ -122,7 +125,7 @@
     /// Returns a connection to the pool after its answer was read to the end.
     ///
     /// Drops the longest idle connection of the endpoint if the pool is full, and the given one if
-    /// `headers` announce that the endpoint closes it.
+    /// `headers` announce that the endpoint closes it, or if the endpoint has another address now.
     pub(super) fn put(
         &self,
         endpoint: &EndpointId,
@@ -133,6 +136,10 @@
         let Some(idle) = idle_timeout(headers) else {
             return;
         };
+        let listed = self.addresses.borrow().get(endpoint).copied();
+        if listed.is_some_and(|address| address != connection.address) {
+            return;
+        }
         let mut kept = self.kept.borrow_mut();
         let list = kept.get_or_insert_with(endpoint.clone(), Vec::new);
         if list.len() >= MAX_IDLE_CONNECTIONS {
@@ -145,12 +152,20 @@
         });
     }
 
-    /// Closes idle connections that have expired or whose endpoint is not listed.
-    pub(super) fn sweep(&self, now: ClockTime, is_listed: impl Fn(&EndpointId) -> bool) {
+    /// Sets the addresses of the listed endpoints, and closes idle connections that have expired or lead
+    /// elsewhere.
+    pub(super) fn sweep(&self, now: ClockTime, addresses: SortedMap<EndpointId, SocketAddr>) {
         self.kept.borrow_mut().retain(|endpoint, list| {
-            list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
-            !list.is_empty() && is_listed(endpoint)
+            let address = addresses.get(endpoint);
+            list.retain(|entry| {
+                let connection = &entry.connection;
+                now < entry.expires_at
+                    && !connection.sender.is_closed()
+                    && address == Some(&connection.address)
+            });
+            !list.is_empty()
         });
+        *self.addresses.borrow_mut() = addresses;
     }
 }
 
@@ -177,6 +192,7 @@
     });
     Ok(EndpointConnection {
         sender,
+        address,
         is_reused: false,
         gate,
         _driver: DriverHandle(driver.abort_handle()),
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -285,8 +285,8 @@
             let mut machine = self.machine.borrow_mut();
             machine.set_endpoints(&list, config, self.now());
             drop(machine);
-            self.pool
-                .sweep(self.now(), |endpoint| list.contains_key(endpoint));
+            let addresses = list.iter().map(|(id, listed)| (id.clone(), listed.address));
+            self.pool.sweep(self.now(), addresses.collect());
             let port = self.settings.borrow().desk_port;
             let engines = list.iter().filter(|(_, listed)| {
                 let traits = config.service(&listed.service);
