fix(node): an older copy of the store confirms no tokens to a router that knew less for too long

Callers got 200 with a key that had been taken away in the lost seconds, from a router that had been away from the store for longer than the revocation bound and read the older copy before the operators had written again. Cause: any answer of the store counted as a confirmation that no revocation was missed. What the store's answers confirm while it shows an older configuration is decided in docs/design/0005.

--- a/crates/cicadalock-node/src/gateway/config_record.rs
+++ b/crates/cicadalock-node/src/gateway/config_record.rs
@@ -58,6 +58,12 @@
         Some(config)
     }
 
+    /// Returns whether the version that the store showed last is older than the one in force.
+    pub(super) fn shows_older(&self) -> bool {
+        let version = self.in_force.as_ref().map(|config| config.version());
+        self.shown < version
+    }
+
     fn is_rewritten(&self, known: &ServingConfig, config: &Arc<ServingConfig>) -> bool {
         self.may_be_rewritten
             && config.version() == known.version()
@@ -69,10 +75,10 @@
     pub(super) fn take_course(&mut self) -> Option<ConfigCourse> {
         let version = self.in_force.as_ref()?.version();
         let shown = self.shown?;
-        if (shown < version) == self.is_behind {
+        if self.shows_older() == self.is_behind {
             return None;
         }
-        self.is_behind = shown < version;
+        self.is_behind = self.shows_older();
         Some(if self.is_behind {
             ConfigCourse::Behind { version, shown }
         } else {
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -314,6 +314,7 @@
         wait: settings.times.store_wait(),
         drain: settings.times.drain,
         lease: settings.times.lease(),
+        token_age: settings.times.max_token_data_age(),
     };
     let mut follower = StoreFollower::new(D::open_store(settings), times);
     std::thread::Builder::new()
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -21,6 +21,9 @@
 /// The platform guarantees that endpoints renew them within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time in which the operators write again what the store's return from an older copy has lost.
+const REWRITE_TIME: Duration = REREGISTRATION_GRACE;
+
 /// Part of a bound that is left for passing a removal on and for requests on their way.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(200);
 
@@ -47,6 +50,8 @@
     pub wait: Duration,
     /// Time after its removal or draining in which an endpoint may still receive requests.
     pub drain: Duration,
+    /// Age of the copy beyond which it authenticates nobody.
+    pub token_age: Duration,
     /// Time of silence after which the store removes the entry of an endpoint.
     pub lease: Duration,
 }
@@ -65,6 +70,9 @@
     pub changes: Vec<EndpointChange>,
     /// Time up to which all changes are known; `None` if the read failed or everything must be read
     /// again.
+    ///
+    /// An older copy of the store confirms nothing to a router that knew less for too long: see
+    /// [`StoreFollower`].
     pub confirmed_at: Option<ClockTime>,
     /// Revision up to which the store was read; zero until all pages have been read.
     pub revision: Revision,
@@ -92,6 +100,11 @@
 /// era, or with a lower revision than the known one, therefore makes it read everything again. Endpoints
 /// that are not listed then are missing as after an outage, and entries that are older than what was seen
 /// do not count, unless the store keeps them for longer than one that nobody renews.
+///
+/// A token that was revoked in the lost seconds is valid in the copy until the operators have written
+/// again. A router that had read everything until shortly before knows of the revocation, or learns of it
+/// within the bound. One that had not for longer than [`FollowerTimes::token_age`] may have missed it, and
+/// does not count the copy as a confirmation until a configuration is written or a time has passed.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
@@ -112,6 +125,12 @@
     doubted: SortedMap<EndpointId, (ListedEndpoint, ClockTime)>,
     /// Start of the last read that was successful; all earlier changes are known.
     confirmed_at: ClockTime,
+    /// Time of the last confirmation that was passed on.
+    tokens_confirmed_at: ClockTime,
+    /// Until when reads confirm nothing, as the store may lack a revocation.
+    tokens_held_until: Option<ClockTime>,
+    /// Whether a configuration was written that is not older than the one in force.
+    has_config_write: bool,
     /// Start of the first failed read since the last successful one.
     failing_since: Option<ClockTime>,
     grace_until: ClockTime,
@@ -143,6 +162,9 @@
             departed: SortedMap::new(),
             doubted: SortedMap::new(),
             confirmed_at: ClockTime::default(),
+            tokens_confirmed_at: ClockTime::default(),
+            tokens_held_until: None,
+            has_config_write: false,
             failing_since: None,
             grace_until: ClockTime::default(),
             was_slow: false,
@@ -175,7 +197,7 @@
         };
         match read {
             Ok(Some(confirmed_at)) => {
-                update.confirmed_at = Some(confirmed_at);
+                update.confirmed_at = Some(self.confirm_tokens(confirmed_at, clock(), &update));
                 self.record_success(confirmed_at, clock(), &mut update);
             }
             Ok(None) => self.must_list = true,
@@ -194,6 +216,26 @@
         update
     }
 
+    /// Returns the time up to which all revocations are known.
+    fn confirm_tokens(
+        &mut self,
+        confirmed_at: ClockTime,
+        now: ClockTime,
+        update: &StoreUpdate,
+    ) -> ClockTime {
+        let was_written = std::mem::take(&mut self.has_config_write);
+        if update.restored.is_some() && now.since(self.tokens_confirmed_at) > self.times.token_age {
+            self.tokens_held_until = Some(now + REWRITE_TIME);
+        }
+        self.tokens_held_until = self
+            .tokens_held_until
+            .filter(|until| now < *until && !was_written);
+        if self.tokens_held_until.is_none() {
+            self.tokens_confirmed_at = confirmed_at;
+        }
+        self.tokens_confirmed_at
+    }
+
     /// Reads all pages and removes the endpoints that are on none of them.
     fn read_all(&mut self, now: ClockTime, update: &mut StoreUpdate) -> Result<(), StoreError> {
         let listing = self.read_listing(update)?;
@@ -437,7 +479,9 @@
     }
 
     fn apply_config(&mut self, config: ServingConfig, update: &mut StoreUpdate) {
-        if let Some(config) = self.config.offer(config) {
+        let taken = self.config.offer(config);
+        self.has_config_write |= !update.is_listing && !self.config.shows_older();
+        if let Some(config) = taken {
             update.config = Some(config);
             // Endpoints' capacity depends on the configuration, so the list is reported again.
             self.has_endpoint_changes = true;
--- a/crates/cicadalock-node/tests/restored_store.rs
+++ b/crates/cicadalock-node/tests/restored_store.rs
@@ -663,3 +663,55 @@
     let until = Some(ClockTime::from_millis(106_200));
     assert_eq!(expiries(&list), [("b", until)]);
 }
+
+/// Steps at each time, and returns the times up to which everything was confirmed, in milliseconds.
+fn confirmations(follow: &mut Follow, times: &[u64]) -> Vec<Option<u64>> {
+    let confirmed = times.iter().map(|time| follow.step_at(*time).confirmed_at);
+    confirmed
+        .map(|at| at.map(|at| at.since(ClockTime::default()).as_millis() as u64))
+        .collect()
+}
+
+#[test]
+fn a_copy_that_is_read_in_time_confirms_what_is_known() {
+    let mut follow = Follow::new(vec![
+        Answer::page(4, 10, vec![config(2)]),
+        Answer::changes(5, 12, Vec::new()),
+        Answer::page(5, 12, vec![config(2)]),
+        Answer::changes(5, 12, Vec::new()),
+    ]);
+    let confirmed = confirmations(&mut follow, &[100_000, 103_000, 103_000, 103_500]);
+    assert_eq!(
+        confirmed,
+        [Some(100_000), None, Some(103_000), Some(103_500)]
+    );
+}
+
+#[parameterized(
+    nothing = { Vec::new(), 100_000 },
+    an_older_version = { vec![written(config(1))], 100_000 },
+    the_version_in_force = { vec![written(config(2))], 104_500 },
+    a_newer_version = { vec![written(config(3))], 104_500 },
+)]
+fn a_copy_that_is_read_too_late_confirms_nothing_until_a_configuration_is_written(
+    changes: Vec<StoreChange>,
+    confirmed_at: u64,
+) {
+    let mut follow = Follow::new(vec![
+        Answer::page(4, 10, vec![config(2)]),
+        Answer::changes(5, 12, Vec::new()),
+        Answer::page(5, 12, vec![config(2)]),
+        Answer::changes(5, 13, changes),
+        Answer::changes(5, 13, Vec::new()),
+    ]);
+    let times = [100_000, 104_000, 104_000, 104_500, 106_300];
+    let confirmed = confirmations(&mut follow, &times);
+    let expected = [
+        Some(100_000),
+        None,
+        Some(100_000),
+        Some(confirmed_at),
+        Some(106_300),
+    ];
+    assert_eq!(confirmed, expected);
+}
--- a/crates/cicadalock-node/tests/support/mod.rs
+++ b/crates/cicadalock-node/tests/support/mod.rs
@@ -16,6 +16,7 @@
     wait: WAIT,
     drain: Duration::from_millis(2_000),
     lease: Duration::from_millis(3_000),
+    token_age: Duration::from_millis(3_500),
 };
 
 pub fn id(name: &str) -> EndpointId {
