--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -30,7 +30,7 @@
 /// Maximum number of messages from other threads that wait for the runtime.
 const INBOX_CAPACITY: usize = 64;
 
-/// Delay before the store is read again after a failed read.
+/// Mean delay before the store is read again after a failed read.
 ///
 /// A few retries fit within the bounds of [`GatewayTimes`](super::GatewayTimes).
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -302,6 +302,13 @@
     }
 }
 
+/// Returns a random delay around [`STORE_RETRY_DELAY`].
+///
+/// The store refuses what exceeds its rate, and routers that it refused together would come back together.
+fn store_retry_delay() -> Duration {
+    STORE_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())
+}
+
 /// Starts the thread that follows the store and sends its updates to the runtime.
 fn spawn_follower<D: GatewayDialect>(
     settings: &GatewaySettings,
@@ -324,7 +331,7 @@
                 let started_at = clock.now();
                 let step = follower.step(|| clock.now());
                 let pause = match (&step.failure, step.confirmed_at) {
-                    (Some(_), _) => STORE_RETRY_DELAY,
+                    (Some(_), _) => store_retry_delay(),
                     (None, None) => Duration::ZERO,
                     (None, Some(_)) => pause.saturating_sub(clock.now().since(started_at)),
                 };
