--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use cicadalock_core::id::StoreEra;
 use cicadalock_core::serving::ListingState;
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -13,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::accept::accept_all;
+use super::config_record::ConfigCourse;
 use super::dialect::GatewayDialect;
 use super::gateway_metrics::{EndLabels, StateLabels};
 use super::gateway_settings::GatewaySettings;
@@ -20,6 +22,7 @@
 use super::ready_port::serve_ready;
 use super::shared::GatewayShared;
 use super::store_follower::{FollowerTimes, StoreFollower, StoreUpdate};
+use super::store_position::StorePosition;
 use crate::clock::ProcessClock;
 use crate::events::EventLog;
 use crate::process::{ProcessError, bind, run_logged};
@@ -27,7 +30,7 @@
 /// Maximum number of messages from other threads that wait for the runtime.
 const INBOX_CAPACITY: usize = 64;
 
-/// Delay before the store is read again after a failed read.
+/// Mean delay before the store is read again after a failed read.
 ///
 /// A few retries fit within the bounds of [`GatewayTimes`](super::GatewayTimes).
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -47,7 +50,7 @@
 
 /// Message from another thread to the runtime.
 enum RuntimeMessage {
-    Store(StoreUpdate),
+    Store(Box<StoreUpdate>),
     Reload,
     Stop,
 }
@@ -130,7 +133,7 @@
     loop {
         tokio::select! {
             message = inbox.recv_async() => match message {
-                Ok(RuntimeMessage::Store(update)) => apply_update(shared, update),
+                Ok(RuntimeMessage::Store(update)) => apply_update(shared, *update),
                 Ok(RuntimeMessage::Reload) => reload::<D>(shared),
                 Ok(RuntimeMessage::Stop) | Err(_) => break,
             },
@@ -155,7 +158,7 @@
     let store_task = tokio::task::spawn_local(async move {
         while let Ok(message) = inbox.recv_async().await {
             if let RuntimeMessage::Store(update) = message {
-                apply_update(&store_shared, update);
+                apply_update(&store_shared, *update);
             }
         }
     });
@@ -201,6 +204,22 @@
             json!({"after_ms": outage, "revision": update.revision.get()}),
         );
     }
+    if update.is_listing {
+        shared.metrics.listings.inc();
+    }
+    if let Some(restored) = &update.restored {
+        shared.metrics.restores.inc();
+        let era = |position: StorePosition| position.era.map(StoreEra::get);
+        shared.log.write(
+            "store-restored",
+            json!({
+                "former_era": era(restored.former),
+                "era": era(restored.present),
+                "former_revision": restored.former.revision.get(),
+                "revision": restored.present.revision.get(),
+            }),
+        );
+    }
     for problem in &update.problems {
         shared.log.write(
             "store-problem",
@@ -213,6 +232,9 @@
             json!({"version": config.version(), "routes": config.routes().len(), "revision": update.revision.get()}),
         );
     }
+    if let Some(course) = update.config_course {
+        log_config_course(shared, course);
+    }
     for change in &update.changes {
         let state = change.kind.name();
         shared
@@ -244,6 +266,23 @@
     shared.apply_store_update(update);
 }
 
+fn log_config_course(shared: &GatewayShared, course: ConfigCourse) {
+    match course {
+        ConfigCourse::Behind { version, shown } => {
+            shared.metrics.is_config_behind.set(1);
+            shared
+                .log
+                .write("config-behind", json!({"version": version, "shown": shown}));
+        }
+        ConfigCourse::CaughtUp { version } => {
+            shared.metrics.is_config_behind.set(0);
+            shared
+                .log
+                .write("config-caught-up", json!({"version": version}));
+        }
+    }
+}
+
 /// Reads the settings again; keeps the current ones if the new ones are unusable.
 fn reload<D: GatewayDialect>(shared: &GatewayShared) {
     match D::load_settings() {
@@ -263,6 +302,13 @@
     }
 }
 
+/// Returns a random delay around [`STORE_RETRY_DELAY`].
+///
+/// The store refuses what exceeds its rate, and routers that it refused together would come back together.
+fn store_retry_delay() -> Duration {
+    STORE_RETRY_DELAY.mul_f64(0.5 + rand::random::<f64>())
+}
+
 /// Starts the thread that follows the store and sends its updates to the runtime.
 fn spawn_follower<D: GatewayDialect>(
     settings: &GatewaySettings,
@@ -274,6 +320,8 @@
     let times = FollowerTimes {
         wait: settings.times.store_wait(),
         drain: settings.times.drain,
+        lease: settings.times.lease(),
+        token_age: settings.times.max_token_data_age(),
     };
     let mut follower = StoreFollower::new(D::open_store(settings), times);
     std::thread::Builder::new()
@@ -283,11 +331,11 @@
                 let started_at = clock.now();
                 let step = follower.step(|| clock.now());
                 let pause = match (&step.failure, step.confirmed_at) {
-                    (Some(_), _) => STORE_RETRY_DELAY,
+                    (Some(_), _) => store_retry_delay(),
                     (None, None) => Duration::ZERO,
                     (None, Some(_)) => pause.saturating_sub(clock.now().since(started_at)),
                 };
-                if sender.send(RuntimeMessage::Store(step)).is_err() {
+                if sender.send(RuntimeMessage::Store(Box::new(step))).is_err() {
                     return;
                 }
                 std::thread::sleep(pause);
--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -24,6 +24,12 @@
     pub(super) connects: Counter,
     /// Reads of the store, by result.
     pub(super) reads: Family<EndLabels, Counter>,
+    /// Reads of all pages of the store.
+    pub(super) listings: Counter,
+    /// Times that the store was found to have come back from an older copy.
+    pub(super) restores: Counter,
+    /// 1 while the store shows an older configuration than the one in force.
+    pub(super) is_config_behind: Gauge,
     /// Changes of endpoints' entries, by the new state.
     pub(super) endpoint_changes: Family<StateLabels, Counter>,
     /// Parts of prompts that are refused now, with the number of crashes.
@@ -89,6 +95,9 @@
             silences: Family::default(),
             connects: Counter::default(),
             reads: Family::default(),
+            listings: Counter::default(),
+            restores: Counter::default(),
+            is_config_behind: Gauge::default(),
             endpoint_changes: Family::default(),
             refused_parts: Family::default(),
             held: Gauge::default(),
@@ -127,6 +136,21 @@
             metrics.connects.clone(),
         );
         registry.register("store_reads", "Reads of the store", metrics.reads.clone());
+        registry.register(
+            "store_listings",
+            "Reads of all pages of the store",
+            metrics.listings.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Returns of the store from an older copy",
+            metrics.restores.clone(),
+        );
+        registry.register(
+            "config_behind",
+            "Whether the store shows an older configuration than the one in force",
+            metrics.is_config_behind.clone(),
+        );
         registry.register(
             "endpoint_changes",
             "Changes of endpoints' entries",
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod caller_connection;
 mod caller_limits;
 mod caller_stream;
+mod config_record;
 mod connection_pool;
 mod crash_check;
 mod daemon;
@@ -34,16 +35,19 @@
 mod serve;
 mod shared;
 mod store_follower;
+mod store_position;
 mod stream_part;
 mod stream_relay;
 mod suspension;
 
+pub use config_record::ConfigCourse;
 pub use daemon::run_gateway;
 pub use dialect::{AnswerFields, ForwardContext, GatewayDialect, RequestFields};
 pub use endpoint_change::{ChangeKind, EndpointChange};
 pub use event_splitter::EventSplitter;
 pub use gateway_settings::{GatewaySettings, GatewayTimes, SettingsBuilder};
 pub use platform_store::{
-    PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
+    EraError, PlatformStore, StoreChange, StoreChanges, StoreDocument, StoreError, StorePage,
 };
 pub use store_follower::{FollowerTimes, StoreFollower, StoreUpdate};
+pub use store_position::{StorePosition, StoreRestore};
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -74,7 +74,7 @@
 enum RelayEvent {
     Current(PartFrame),
     Standby(PartFrame),
-    Resumed(ResumeEnd),
+    Resumed(Box<ResumeEnd>),
     CallerLeft,
     TimerDue,
 }
@@ -152,7 +152,7 @@
                 RelayEvent::Current(PartFrame::End) => self.end_current::<D>(&caller).await,
                 RelayEvent::Current(PartFrame::Broken(detail)) => self.replace_broken::<D>(detail),
                 RelayEvent::Standby(frame) => self.receive_standby::<D>(frame, &caller).await,
-                RelayEvent::Resumed(end) => self.receive_resumed::<D>(end),
+                RelayEvent::Resumed(end) => self.receive_resumed::<D>(*end),
                 RelayEvent::CallerLeft => self.abandon("caller-left"),
                 RelayEvent::TimerDue => self.check_limits::<D>(),
             };
@@ -170,7 +170,7 @@
             biased;
             frame = frame_of(self.current.as_mut()) => RelayEvent::Current(frame),
             frame = frame_of(standby) => RelayEvent::Standby(frame),
-            Some(Ok(end)) = self.resuming.join_next() => RelayEvent::Resumed(end),
+            Some(Ok(end)) = self.resuming.join_next() => RelayEvent::Resumed(Box::new(end)),
             () = caller.closed() => RelayEvent::CallerLeft,
             () = self.shared.wait_for_silence(wait) => RelayEvent::TimerDue,
         }
