fix(gateway): a router that starts asks what the others have in force before it accepts tokens

A router that started between the store's return from an older copy and the operators' writing accepted tokens that had been revoked in the lost seconds: the older copy was all that it could read. Cause: what is known of the configuration lives in each router alone. Class: knowledge that must outlive a process is kept nowhere else.

Desks outlive routers. A router names the version that it has in force in its hello and when it changes; desks tell the newest one that connected routers have, or had up to 60 s before. A router that has started refuses tokens (503, not run) and is not ready until the store shows that version, for 10 s at most, or until no desk has told of any for 500 ms. Later, it follows the store alone, so that a slow change at one router never stops another.

Without desks, or when all of them have ended with the routers, nothing is known and the copy is served.

--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -37,6 +37,12 @@
 /// A live router sends a message every second.
 const ROUTER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Time for which the configuration of a router that has disconnected is remembered.
+///
+/// Longer than routers take to start again; shorter than a configuration would be missed that the store
+/// has lost for good.
+const CONFIG_MEMORY: Duration = Duration::from_secs(60);
+
 /// Action that the owner of a [`DeskMachine`] has to perform.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DeskAction {
@@ -56,6 +62,8 @@
     /// The limit that the endpoint named, and when it was named or found to have ended.
     limit: (Option<RequestRate>, Option<PastTime>),
     broker: LimitBroker,
+    /// Newest configuration of the routers that have disconnected, and when that was.
+    departed_config: Option<(u64, ClockTime)>,
     routers: SortedMap<LinkId, RouterState>,
     actions: Vec<DeskAction>,
     last_sweep: ClockTime,
@@ -74,6 +82,8 @@
     forecast: WaitForecast,
     rate: PrefillRate,
     limit_sent: Option<RequestRate>,
+    /// Version of the configuration that the router has in force.
+    config_version: Option<u64>,
 }
 
 impl DeskMachine {
@@ -86,6 +96,7 @@
             board: EvidenceBoard::default(),
             limit: (None, None),
             broker: LimitBroker::default(),
+            departed_config: None,
             routers: SortedMap::new(),
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
@@ -124,13 +135,18 @@
             DeskMessage::Evidence(frame) => self.pass_on_evidence(link, frame, now),
             DeskMessage::Limit(frame) => self.set_limit(frame, now),
             DeskMessage::Demand(frame) => self.share_out(link, &frame, now),
+            DeskMessage::Config(notice) => router.config_version = Some(notice.version),
             _ => {}
         }
     }
 
     /// Handles the loss of a router's connection: drops its requests and usage.
     pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
-        self.routers.remove(&link);
+        let router = self.routers.remove(&link);
+        if let Some(version) = router.and_then(|router| router.config_version) {
+            let newest = self.newest_config(now).max(Some(version));
+            self.departed_config = newest.map(|newest| (newest, now));
+        }
         self.meter.drop_link(link);
         self.broker.drop_link(link);
         self.desk.remove_waiting(link);
@@ -204,6 +220,7 @@
                 forecast: WaitForecast::default(),
                 rate: PrefillRate::default(),
                 limit_sent: None,
+                config_version: hello.config_version,
             },
         );
         for frame in self.board.to_frames(now) {
@@ -308,6 +325,7 @@
             running: state.running,
             limit: limit.map(RequestRate::get),
             routers: self.routers.len() as u32,
+            newest_config: self.newest_config(now),
         };
         for (link, router) in self.routers.iter_mut() {
             if !is_due(router) {
@@ -330,6 +348,15 @@
         }
     }
 
+    /// Returns the newest configuration that routers have in force, or had until shortly before.
+    fn newest_config(&self, now: ClockTime) -> Option<u64> {
+        let connected = self.routers.values();
+        let connected = connected.filter_map(|router| router.config_version).max();
+        let departed = self.departed_config;
+        let departed = departed.filter(|(_, at)| now.since(*at) < CONFIG_MEMORY);
+        connected.max(departed.map(|(version, _)| version))
+    }
+
     fn close_silent_links(&mut self, now: ClockTime) {
         let silent = self
             .routers
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -4,6 +4,7 @@
 use super::call::{AttemptEnd, GatewayCall};
 use super::endpoint_state::EndpointState;
 use super::placing::PlacementPlan;
+use super::start_check::StartCheck;
 use crate::collect::SortedMap;
 use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, RunKey};
 use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
@@ -77,6 +78,9 @@
     pub(super) last_router_count: u32,
     /// Number of desks to which evidence was sent so far.
     pub(super) evidence_sent: usize,
+    /// Version of the configuration in force.
+    pub(super) config_version: Option<u64>,
+    pub(super) start_check: StartCheck,
 }
 
 /// Retry budget and prefill statistics of one service.
@@ -187,6 +191,8 @@
             guard: PartGuard::default(),
             last_router_count: 1,
             evidence_sent: 0,
+            config_version: None,
+            start_check: StartCheck::default(),
         }
     }
 
--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod machine;
 mod placing;
 mod remote_desk;
+mod start_check;
 
 pub use action::{GatewayAction, RefusalReason, RetryDenial};
 pub use call::{AttemptEnd, CallBuilder, GatewayCall};
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -6,7 +6,9 @@
 };
 use crate::desk::{DeskAsk, RequestRate};
 use crate::id::{CustomerId, EndpointId, RequestId};
-use crate::message::{DeskAskFrame, DeskHello, DeskMessage, DeskRun, DeskSums, DeskTotals};
+use crate::message::{
+    ConfigNotice, DeskAskFrame, DeskHello, DeskMessage, DeskRun, DeskSums, DeskTotals,
+};
 use crate::place::PrefillRate;
 use crate::time::ClockTime;
 
@@ -55,6 +57,7 @@
             memory: limits.memory.unwrap_or_default(),
             pause_ms: limits.pause.as_millis() as u32,
             runs: runs.collect(),
+            config_version: self.config_version,
         })
     }
 
@@ -86,6 +89,10 @@
                 remote.spacing = spacing.unwrap_or_default();
                 state.desk.set_rate(remote.rate);
                 self.last_router_count = frame.routers;
+                if let Some(newest) = frame.newest_config {
+                    let version = self.config_version.unwrap_or_default();
+                    self.start_check.hear(newest, version);
+                }
                 let known = state.limit;
                 if is_new {
                     self.send_board(endpoint, now);
@@ -202,6 +209,30 @@
         }
     }
 
+    /// Records that the configuration `version` is in force, and tells all desks; `has_desks` if any
+    /// endpoint has one.
+    pub fn set_config_version(&mut self, version: u64, has_desks: bool, now: ClockTime) {
+        self.config_version = Some(version);
+        self.start_check.record_config(version, has_desks, now);
+        for endpoint in self.connected_desks() {
+            let notice = DeskMessage::Config(ConfigNotice { version });
+            self.send_to_desk(&endpoint, notice);
+        }
+    }
+
+    /// Returns whether the configuration in force is as new as the one that other routers have, as far
+    /// as desks have told since the start.
+    #[must_use]
+    pub fn is_config_current(&self, now: ClockTime) -> bool {
+        self.start_check.is_passed(now)
+    }
+
+    /// Returns the newest configuration that other routers had in force when this one started.
+    #[must_use]
+    pub const fn newest_config_heard(&self) -> Option<u64> {
+        self.start_check.newest_heard()
+    }
+
     /// Returns whether the endpoint's own desk decides on admission.
     #[must_use]
     pub fn has_desk(&self, endpoint: &EndpointId) -> bool {
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -16,6 +16,9 @@
     /// Requests of this router that are already running at the endpoint.
     #[prost(message, repeated, tag = "5")]
     pub runs: Vec<DeskRun>,
+    /// Version of the configuration that the router has in force; absent before the first.
+    #[prost(uint64, optional, tag = "6")]
+    pub config_version: Option<u64>,
 }
 
 /// A request that is already running at the endpoint when its router connects to the desk.
@@ -98,6 +101,9 @@
     /// Number of routers that are connected to the desk.
     #[prost(uint32, tag = "5")]
     pub routers: u32,
+    /// Newest version of the configuration that routers are known to have in force.
+    #[prost(uint64, optional, tag = "6")]
+    pub newest_config: Option<u64>,
 }
 
 /// One frame between a router and a desk.
@@ -106,7 +112,7 @@
     /// The message; absent if the peer sent a type that this version does not know.
     #[prost(
         oneof = "DeskMessage",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub message: Option<DeskMessage>,
 }
@@ -157,6 +163,17 @@
     /// Desk to router: the router's share of such a limit.
     #[prost(message, tag = "14")]
     Share(ShareFrame),
+    /// Router to desk: the router has a newer configuration in force.
+    #[prost(message, tag = "15")]
+    Config(ConfigNotice),
+}
+
+/// The configuration that a router has in force.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ConfigNotice {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
 }
 
 /// Decayed cost that customers received through the sending router.
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -24,9 +24,9 @@
     TotalLine, TotalsReport, ViewMessage,
 };
 pub use desk::{
-    CrashFrame, CustomerTotal, DemandFrame, DeskAskFrame, DeskEnvelope, DeskHello, DeskMessage,
-    DeskNotice, DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals, EvidenceFrame,
-    LimitFrame, ShareFrame, SoundFrame, SuspectFrame,
+    ConfigNotice, CrashFrame, CustomerTotal, DemandFrame, DeskAskFrame, DeskEnvelope, DeskHello,
+    DeskMessage, DeskNotice, DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals,
+    EvidenceFrame, LimitFrame, ShareFrame, SoundFrame, SuspectFrame,
 };
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
--- a/crates/cicadalock-core/tests/desk.rs
+++ b/crates/cicadalock-core/tests/desk.rs
@@ -9,7 +9,8 @@
 };
 use cicadalock_core::id::{CustomerId, LinkId, RequestId};
 use cicadalock_core::message::{
-    CustomerTotal, DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRun, DeskTotals,
+    ConfigNotice, CustomerTotal, DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRun,
+    DeskTotals,
 };
 use cicadalock_core::time::ClockTime;
 use proptest::prelude::*;
@@ -173,6 +174,7 @@
         memory: MEMORY,
         pause_ms: 400,
         runs,
+        config_version: None,
     })
 }
 
@@ -491,3 +493,47 @@
         "the long prompt did not start within 640 ms"
     );
 }
+
+/// Returns the newest configuration that the state messages to `link` name.
+fn newest_config(actions: &[DeskAction], link: LinkId) -> Option<u64> {
+    let mut states = actions.iter().filter_map(|action| match action {
+        DeskAction::Send(to, DeskMessage::State(state)) if *to == link => Some(state),
+        _ => None,
+    });
+    states.next_back().and_then(|state| state.newest_config)
+}
+
+#[test]
+fn a_desk_tells_routers_which_configuration_others_have_or_had() {
+    let mut desk = DeskMachine::new();
+    let (first, second) = (LinkId::new(1), LinkId::new(2));
+    desk.receive(first, hello(Vec::new()), ClockTime::from_millis(10_000));
+    assert_eq!(
+        newest_config(&desk.take_actions(ClockTime::from_millis(10_000)), first),
+        None
+    );
+    desk.receive(
+        first,
+        DeskMessage::Config(ConfigNotice { version: 7 }),
+        ClockTime::from_millis(10_010),
+    );
+    desk.receive(second, hello(Vec::new()), ClockTime::from_millis(10_020));
+    assert_eq!(
+        newest_config(&desk.take_actions(ClockTime::from_millis(10_020)), second),
+        Some(7)
+    );
+    desk.link_down(first, ClockTime::from_millis(10_030));
+    desk.link_down(second, ClockTime::from_millis(10_030));
+    desk.receive(second, hello(Vec::new()), ClockTime::from_millis(15_000));
+    assert_eq!(
+        newest_config(&desk.take_actions(ClockTime::from_millis(15_000)), second),
+        Some(7)
+    );
+    desk.link_down(second, ClockTime::from_millis(15_000));
+    desk.receive(second, hello(Vec::new()), ClockTime::from_millis(80_000));
+    assert_eq!(
+        newest_config(&desk.take_actions(ClockTime::from_millis(80_000)), second),
+        None,
+        "nobody has it in force any more"
+    );
+}
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -21,6 +21,7 @@
 use cicadalock_core::time::ClockTime;
 use proptest::prelude::*;
 use support::seeded;
+use yare::parameterized;
 
 const BOUNDS: GatewayBounds = GatewayBounds {
     retry_ratio: 0.2,
@@ -411,6 +412,18 @@
         running: 0,
         limit: None,
         routers: 1,
+        newest_config: None,
+    })
+}
+
+/// The state of a desk that has heard of a configuration from other routers.
+fn desk_state_with_config(newest: u64) -> DeskMessage {
+    let DeskMessage::State(state) = desk_state(0) else {
+        unreachable!("a desk's state is a state message");
+    };
+    DeskMessage::State(DeskStateFrame {
+        newest_config: Some(newest),
+        ..state
     })
 }
 
@@ -969,3 +982,39 @@
     assert_eq!(begin(&mut machine, 2), Err(RetryDenial::Budget));
     assert_eq!(begin(&mut machine, 1), Err(RetryDenial::MayHaveRun));
 }
+
+#[test]
+fn a_router_that_starts_with_an_older_configuration_waits_for_the_one_that_others_have() {
+    let mut machine = machine(1, 8, Some(100_000));
+    machine.set_config_version(3, true, at(0));
+    assert!(!machine.is_config_current(at(10)), "no desk has told yet");
+    machine.receive_desk_message(&endpoint(0), desk_state_with_config(5), at(20));
+    assert!(!machine.is_config_current(at(2_000)));
+    assert_eq!(machine.newest_config_heard(), Some(5));
+    machine.set_config_version(5, true, at(2_000));
+    assert!(machine.is_config_current(at(2_000)));
+    machine.receive_desk_message(&endpoint(0), desk_state_with_config(6), at(2_100));
+    assert!(
+        machine.is_config_current(at(2_100)),
+        "the router follows the store from here on"
+    );
+}
+
+#[parameterized(
+    without_desks = { false, None, 0 },
+    no_desk_answers = { true, None, 500 },
+    a_desk_has_heard_of_none = { true, Some(desk_state(0)), 500 },
+    others_have_the_same = { true, Some(desk_state_with_config(3)), 10 },
+    the_newer_one_is_lost_for_good = { true, Some(desk_state_with_config(4)), 10_000 },
+)]
+fn a_router_does_not_wait_in_vain(has_desks: bool, state: Option<DeskMessage>, wait_ms: u64) {
+    let mut machine = machine(1, 8, Some(100_000));
+    machine.set_config_version(3, has_desks, at(0));
+    if let Some(state) = state {
+        machine.receive_desk_message(&endpoint(0), state, at(10));
+    }
+    if wait_ms > 10 {
+        assert!(!machine.is_config_current(at(wait_ms - 1)));
+    }
+    assert!(machine.is_config_current(at(wait_ms)));
+}
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -223,6 +223,12 @@
                 DEFAULT_RETRY_AFTER,
             ));
         }
+        if !shared.is_token_data_current() {
+            return Err(CallerRefusal::not_run(
+                "tokens-older-than-elsewhere",
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
         let customer = fields
             .token
             .as_deref()
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -74,6 +74,8 @@
     pub(super) answer_buffers: AnswerBuffers,
     pub(super) desks: DeskLinks,
     pub(super) is_stopping: Cell<bool>,
+    /// Whether a configuration is awaited that other routers have in force.
+    is_waiting_for_config: Cell<bool>,
     /// Whether the number of callers' connections is close to its limit.
     pub(super) is_near_connection_limit: Cell<bool>,
     lag: Cell<LagMeter>,
@@ -105,6 +107,7 @@
             answer_buffers: AnswerBuffers::default(),
             desks: DeskLinks::default(),
             is_stopping: Cell::new(false),
+            is_waiting_for_config: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
             lag: Cell::new(LagMeter::default()),
             suspension: Cell::new(SuspensionGuard::new(clock.now())),
@@ -138,11 +141,18 @@
         self.freshness.get().is_within(limit, self.now())
     }
 
+    /// Returns whether the tokens are those of the newest configuration that other routers have in
+    /// force, as far as this one has heard since its start.
+    pub(super) fn is_token_data_current(&self) -> bool {
+        self.machine.borrow().is_config_current(self.now())
+    }
+
     /// Returns whether the load balancer may route callers to this process.
     pub(super) fn is_ready(&self) -> bool {
         !self.should_shed_connections()
             && self.config.borrow().is_some()
             && self.is_token_data_fresh()
+            && self.is_token_data_current()
     }
 
     /// Returns whether callers should open their next connection to another host: while the process
@@ -285,12 +295,34 @@
             self.machine
                 .borrow_mut()
                 .receive_desk_message(endpoint, message, now);
+            self.report_config_wait();
             self.drive();
         }
     }
 
+    /// Logs that the store shows an older configuration since the start than the one that other routers
+    /// have in force, and when that has ended.
+    fn report_config_wait(&self) {
+        let machine = self.machine.borrow();
+        let newest = machine.newest_config_heard();
+        let is_waiting = newest.is_some() && !machine.is_config_current(self.now());
+        if self.is_waiting_for_config.replace(is_waiting) == is_waiting {
+            return;
+        }
+        let event = if is_waiting {
+            "start-config-older"
+        } else {
+            "start-config-current"
+        };
+        let config = self.config.borrow();
+        let version = config.as_ref().map(|config| config.version());
+        self.log
+            .write(event, json!({"version": version, "newest": newest}));
+    }
+
     /// Applies what a read of the store changed to the configuration, the endpoints and the desks.
     pub(super) fn apply_store_update(self: &Rc<Self>, update: StoreUpdate) {
+        let is_config_new = update.config.is_some();
         if let Some(config) = update.config {
             let bound = self.settings.borrow().times.config;
             self.caller_limits.set(config.limits(), bound);
@@ -304,9 +336,9 @@
         if let Some(list) = update.endpoints
             && let Some(config) = self.config.borrow().as_ref()
         {
-            let mut machine = self.machine.borrow_mut();
-            machine.set_endpoints(&list, config, self.now());
-            drop(machine);
+            self.machine
+                .borrow_mut()
+                .set_endpoints(&list, config, self.now());
             let addresses = list.iter().map(|(id, listed)| (id.clone(), listed.address));
             self.pool.sweep(self.now(), addresses.collect());
             let port = self.settings.borrow().desk_port;
@@ -316,7 +348,15 @@
             });
             let desks = engines
                 .map(|(id, listed)| (id.clone(), SocketAddr::new(listed.address.ip(), port)));
-            self.desks.set_targets(self, &desks.collect());
+            let desks: SortedMap<EndpointId, SocketAddr> = desks.collect();
+            if is_config_new {
+                let (version, has_desks) = (config.version(), !desks.is_empty());
+                let now = self.now();
+                let mut machine = self.machine.borrow_mut();
+                machine.set_config_version(version, has_desks, now);
+            }
+            self.desks.set_targets(self, &desks);
+            self.report_config_wait();
         }
         self.drive();
         self.store_read.notify_waiters();
