fix(node): an older entry that the store keeps does not bring a process back that said that it leaves

Cause: what the store keeps past its lease counted as true whatever the process had said last. A process that drains and reaches the store writes so again, so such an entry is not its own word. Evidence: an_older_entry_does_not_bring_a_process_back_..., both cases, fail on the commit before. Change: a doubted entry of a process that was draining is dropped.

--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -528,7 +528,8 @@
         }
     }
 
-    /// Drops the missing endpoints whose time is over, and takes older entries that the store keeps.
+    /// Drops the missing endpoints whose time is over, and takes older entries that the store keeps,
+    /// except of processes that said that they leave.
     fn drop_expired(&mut self, now: ClockTime, update: &mut StoreUpdate) {
         let expired = self
             .endpoints
@@ -548,12 +549,23 @@
             .map(|(id, (entry, _))| (id.clone(), entry.clone()))
             .collect();
         for (id, entry) in renewed {
-            self.set_endpoint(id, entry, update);
+            if self.has_drained(&id, entry.started) {
+                self.doubted.remove(&id);
+            } else {
+                self.set_endpoint(id, entry, update);
+            }
         }
         self.departed
             .retain(|_, (_, dropped_at)| now.since(*dropped_at) < DEPARTED_MEMORY);
     }
 
+    /// Returns whether the process of an endpoint that started at `started` said that it leaves.
+    fn has_drained(&self, id: &EndpointId, started: u64) -> bool {
+        let departed = self.departed.get(id).map(|(last, _)| last);
+        let last = self.endpoints.get(id).or(departed);
+        last.is_some_and(|last| last.state == ListingState::Draining && last.started == started)
+    }
+
     /// Replaces the time from which missing endpoints count as gone, where `is_replaced` is true of it.
     fn set_expiry(
         &mut self,
--- a/crates/cicadalock-node/tests/restored_store.rs
+++ b/crates/cicadalock-node/tests/restored_store.rs
@@ -514,6 +514,33 @@
     assert_eq!(address.as_deref(), Some("127.0.0.1:9002"));
 }
 
+#[parameterized(
+    which_it_still_lists = { Vec::new() },
+    which_it_removed = { vec![StoreChange::EndpointRemoved(id("a"))] },
+)]
+fn an_older_entry_does_not_bring_a_process_back_that_said_that_it_leaves(before: Vec<StoreChange>) {
+    let mut follow = Follow::new(vec![
+        Answer::page(
+            4,
+            10,
+            vec![written_by("a", true, 7, 4), endpoint("b", false)],
+        ),
+        Answer::changes(4, 11, before),
+        Answer::gone(),
+        Answer::page(
+            5,
+            10,
+            vec![written_by("a", false, 7, 3), endpoint("b", false)],
+        ),
+        Answer::changes(5, 10, Vec::new()),
+        Answer::changes(5, 10, Vec::new()),
+    ]);
+    let mut updates = follow.run(4);
+    updates.push(follow.step_at(110_000));
+    updates.push(follow.step_at(120_000));
+    assert_ne!(state_of(&updates, "a"), Some(ListingState::Ready));
+}
+
 /// Guards against requests to a leaving process whose host has set its clock back.
 #[test]
 fn a_process_of_an_earlier_start_that_says_that_it_leaves_is_believed() {
