fix(gateway): the size of heads on open connections follows the configuration

Cause: hyper's buffer, which bounds the head, was sized from the configuration at the accept. The same class as the idle limit: a value of the configuration copied at the start of something that outlives that configuration.

Change: the buffer has 32 KiB or the limit at the accept, whichever is more, and each head is compared with the limit in force. Raised beyond the buffer, the limit holds on new connections only.

--- a/crates/cicadalock-node/src/gateway/accept.rs
+++ b/crates/cicadalock-node/src/gateway/accept.rs
@@ -2,6 +2,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -14,7 +16,8 @@
 use super::caller_connection::serve_until_closed;
 use super::caller_stream::CallerStream;
 use super::dialect::GatewayDialect;
-use super::serve::{UnreadBody, refuse_connection, serve};
+use super::refusal::CallerRefusal;
+use super::serve::{DEFAULT_RETRY_AFTER, UnreadBody, refuse_unread, serve};
 use super::shared::GatewayShared;
 use crate::process::SocketTimeouts;
 
@@ -44,9 +47,15 @@
 /// Delay before the next `accept` after one that failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Minimum size of the parser's buffer for a request head, in bytes; smaller limits are raised to
-/// it.
-const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
+/// Minimum size of the parser's buffer for a request head, in bytes. It leaves room for limits that
+/// are raised while a connection is open.
+const MIN_HEAD_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Minimum limit on the size of a request head, in bytes; smaller ones are raised to it.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
+/// Bytes of a request line or header field beyond its texts: spaces, colon, version and line end.
+const LINE_OVERHEAD_BYTES: usize = 4;
 
 /// Maximum number of header fields of a request.
 const MAX_HEADERS: usize = 100;
@@ -123,21 +132,15 @@
     end: CancellationToken,
 ) {
     CALLER_TIMEOUTS.apply(&stream);
-    let limits = shared
-        .config
-        .borrow()
-        .as_ref()
-        .map(|config| *config.limits());
-    let limits = limits.unwrap_or_default();
+    let head_buffer = head_limit(&shared).max(MIN_HEAD_BUFFER_BYTES);
     let (activity, end) = (&activity, &end);
     let service = service_fn(|request| {
         let running = activity.start_request();
         let shared = Rc::clone(&shared);
         async move {
-            let response = if activity.is_refused() {
-                refuse_connection::<D>(&shared, &request)
-            } else {
-                serve::<D>(shared, request, end).await?
+            let response = match connection_refusal(&shared, activity, &request) {
+                Some(refusal) => refuse_unread::<D>(&shared, &request, refusal),
+                None => serve::<D>(shared, request, end).await?,
             };
             if response.extensions().get::<UnreadBody>().is_some() {
                 activity.expect_more();
@@ -150,7 +153,39 @@
         // hyper's timeout holds for the connection; the limits here follow the configuration.
         .header_read_timeout(None)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(head_buffer)
         .serve_connection(TokioIo::new(stream), service);
     serve_until_closed(&shared, connection, activity, &drain, end).await;
 }
+
+/// Returns why a request is refused whatever its route is.
+fn connection_refusal(
+    shared: &GatewayShared,
+    activity: &CallerActivity,
+    request: &Request<Incoming>,
+) -> Option<CallerRefusal> {
+    if activity.is_refused() {
+        let reason = "too-many-connections";
+        return Some(CallerRefusal::not_run(reason, DEFAULT_RETRY_AFTER));
+    }
+    let is_too_large = head_bytes(request) > head_limit(shared);
+    is_too_large.then(|| CallerRefusal::client_error(431, "head-too-large"))
+}
+
+/// Returns the maximum size of a request head in the configuration that is in force, in bytes.
+fn head_limit(shared: &GatewayShared) -> usize {
+    let config = shared.config.borrow();
+    let limits = config.as_ref().map(|config| *config.limits());
+    limits.unwrap_or_default().head_bytes.max(MIN_HEAD_BYTES)
+}
+
+/// Returns the size of a request head, without the parts that every head has.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let target = request.uri().path_and_query();
+    let target = target.map_or(0, |target| target.as_str().len());
+    let fields = request.headers().iter();
+    let fields = fields
+        .map(|(name, value)| name.as_str().len() + value.len() + LINE_OVERHEAD_BYTES)
+        .sum::<usize>();
+    request.method().as_str().len() + target + LINE_OVERHEAD_BYTES + fields
+}
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -32,7 +32,7 @@
 
 /// `Retry-After` of refusals that should clear soon, such as before the first configuration has
 /// been read or while the process stops.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Timeout of requests that do not state one.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
@@ -106,14 +106,14 @@
     Ok(response)
 }
 
-/// Refuses a request unread, as its connection is beyond the limit.
-pub(super) fn refuse_connection<D: GatewayDialect>(
+/// Refuses a request unread and asks the caller to close its connection.
+pub(super) fn refuse_unread<D: GatewayDialect>(
     shared: &GatewayShared,
     request: &Request<Incoming>,
+    refusal: CallerRefusal,
 ) -> Response<GatewayBody> {
     let fields = D::decode_request_fields(request.headers());
     let request_id = fields.request.unwrap_or_default();
-    let refusal = CallerRefusal::not_run("too-many-connections", DEFAULT_RETRY_AFTER);
     let mut response = refuse(shared, &request_id, refusal, shared.now());
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
