perf(gateway): the future of a request takes its space once

Cause: the refusal at the end of the grace period passed the request's future into a function, which stores it twice, and hyper holds that space for each connection.

--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,7 +93,8 @@
         Ok(handler.run::<D>().await)
     };
     let grace_over = || Err(CallerRefusal::may_have_run(502, "grace-over"));
-    let handled = end.run_until_cancelled(handled).await;
+    // Pinned here, as a future that is passed on takes its space twice.
+    let handled = end.run_until_cancelled(pin!(handled)).await;
     let mut response = handled
         .unwrap_or_else(grace_over)
         .unwrap_or_else(|refusal| refuse(&shared, &request_id, refusal, arrived));
