fix(gateway): half a head keeps a stopping router for one second at most

Cause: the change of the drain left a begun head its whole limit (3 s by default), which is bounded by the end of the grace period alone; the process then needs the rest of it to leave. Class of fault: a caller that does nothing uses the time of those that wait.

Change: while the process stops, the rest of a head has one second, or its limit if that ends before.

--- a/crates/cicadalock-node/src/gateway/caller_activity.rs
+++ b/crates/cicadalock-node/src/gateway/caller_activity.rs
@@ -14,6 +14,9 @@
 /// Time in which the first request of a new connection arrives.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
 
+/// Time for the rest of a head while the process stops.
+const LAST_HEAD_WAIT: Duration = Duration::from_secs(1);
+
 /// Time in which a caller may send on after the last answer. A close before would reset the connection,
 /// and the answer could be lost with it.
 const LINGER_TIME: Duration = Duration::from_secs(2);
@@ -33,8 +36,8 @@
     expects_more: Cell<bool>,
     /// When the sending side was closed, after the last answer.
     closing_since: Cell<Option<Instant>>,
-    /// Whether the process stops.
-    is_draining: Cell<bool>,
+    /// When the connection was to be closed, as the process stops.
+    drain_since: Cell<Option<Instant>>,
     /// When the first byte of the next request arrived.
     head_since: Cell<Option<Instant>>,
     /// Whether the next read asks the kernel itself; the runtime may not know of all received bytes.
@@ -97,7 +100,7 @@
             is_write_blocked: Cell::new(false),
             expects_more: Cell::new(false),
             closing_since: Cell::new(None),
-            is_draining: Cell::new(false),
+            drain_since: Cell::new(None),
             head_since: Cell::new(None),
             reads_kernel: Cell::new(false),
         })
@@ -164,12 +167,12 @@
 
     /// Closes the connection as soon as no request is on it.
     pub(super) fn drain(&self) {
-        self.is_draining.set(true);
+        self.drain_since.set(Some(Instant::now()));
     }
 
     /// Returns whether a request runs on a connection that is to be closed.
     pub(super) fn runs_last_request(&self) -> bool {
-        self.is_draining.get() && self.is_running.get()
+        self.drain_since.get().is_some() && self.is_running.get()
     }
 
     /// Returns whether bytes of a request that is not complete have arrived.
@@ -191,10 +194,20 @@
         }
         if let Some(since) = self.head_since.get() {
             let limit = limits.head_since(since);
-            return Some(CloseDue::after(since, limit, CloseClock::Head));
+            let due = CloseDue::after(since, limit, CloseClock::Head);
+            let Some(drain_since) = self.drain_since.get() else {
+                return Some(due);
+            };
+            let last_start = since.max(drain_since);
+            let drain_due = CloseDue::after(last_start, LAST_HEAD_WAIT, CloseClock::Drain);
+            return Some(if drain_due.at < due.at {
+                drain_due
+            } else {
+                due
+            });
         }
         let since = self.quiet_since.get();
-        if self.is_draining.get() && !self.is_write_blocked.get() {
+        if self.drain_since.get().is_some() && !self.is_write_blocked.get() {
             let limit = if self.has_received.get() {
                 Duration::ZERO
             } else {
