fix(gateway): late bytes after an answer no longer fail the next request that must not run twice

Cause: a connection went back to the pool as soon as its answer was read to the end, and the next request was sent on it at once. Bytes that the endpoint writes after a complete answer, and that arrived after that request was sent, were read as its answer: attempt-failed with "invalid HTTP version parsed", 502 broken. Seen only at the second to fourth request of the test, never at the first, which has a new connection. Bytes that arrive before the request is sent were harmless already: the connection is closed and the request sent on another.

Change: a request that must not run twice is sent only on a connection that has been idle, and silent, for 50 ms; younger ones stay in the pool for others. Requests that may be repeated reuse connections as before; such a broken attempt of theirs is repeated.

Left: bytes that come more than 50 ms after an answer, and after the next request was sent, still break that request.

--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -41,6 +41,12 @@
 /// retried.
 const MAX_IDLE_TIME_NO_RETRY: Duration = Duration::from_millis(800);
 
+/// Minimum idle time of a connection that is reused for a request that must not run twice.
+///
+/// Bytes after a complete answer belong to no request. They would be taken for the answer to the next
+/// request if they arrived after it was sent; the wait is far longer than a round trip within a region.
+const MIN_IDLE_TIME_NO_RETRY: Duration = Duration::from_millis(50);
+
 /// Maximum number of idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 48;
 
@@ -84,6 +90,14 @@
     }
 }
 
+impl IdleConnection {
+    /// Returns whether the connection may serve a request that must not run twice.
+    fn is_settled(&self, now: ClockTime) -> bool {
+        let idle = now.since(self.idle_since);
+        (MIN_IDLE_TIME_NO_RETRY..=MAX_IDLE_TIME_NO_RETRY).contains(&idle)
+    }
+}
+
 impl Drop for DriverHandle {
     fn drop(&mut self) {
         self.0.abort();
@@ -93,7 +107,8 @@
 impl ConnectionPool {
     /// Takes the most recently used connection to an endpoint, if a usable one exists.
     ///
-    /// A request that may not be retried gets a connection only if it was idle for a short time.
+    /// A request that may not be retried gets a connection only if it was idle long enough for further
+    /// bytes to show, and short enough for the endpoint not to have dropped it.
     pub(super) fn take(
         &self,
         endpoint: &EndpointId,
@@ -102,21 +117,13 @@
     ) -> Option<EndpointConnection> {
         let mut kept = self.kept.borrow_mut();
         let list = kept.get_mut(endpoint)?;
-        while let Some(entry) = list.pop() {
-            let is_fresh = may_retry || now.since(entry.idle_since) <= MAX_IDLE_TIME_NO_RETRY;
-            if entry.connection.sender.is_ready() && now < entry.expires_at && is_fresh {
-                let mut connection = entry.connection;
-                connection.is_reused = true;
-                return Some(connection);
-            }
-            if !is_fresh && now < entry.expires_at {
-                // The remaining connections have been idle even longer. They may still serve
-                // requests that may be retried.
-                list.push(entry);
-                return None;
-            }
-        }
-        None
+        list.retain(|entry| entry.connection.sender.is_ready() && now < entry.expires_at);
+        let position = list
+            .iter()
+            .rposition(|entry| may_retry || entry.is_settled(now))?;
+        let mut connection = list.remove(position).connection;
+        connection.is_reused = true;
+        Some(connection)
     }
 
     /// Returns a connection to the pool after its answer was read to the end.
