fix(trial): a fleet that does not start names its processes, how they ended and the end of their logs

Two tests failed at "the fleet starts" and nothing told why: the error was "fleet did not become ready before the timeout", the start went on for 15 s after a process had ended, and what a process wrote was discarded unless TRIAL_LOGS was set. Logs of all processes now go to a file in the folder of the fleet, the start fails at once if a process ends, and the error names each process that has ended or is not ready, its exit status and its last five lines. The soak's start does the same.

--- a/crates/trial/src/fleet/builder.rs
+++ b/crates/trial/src/fleet/builder.rs
@@ -177,7 +177,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a process cannot be started or the fleet is not ready in time.
+    /// Fails if a process cannot be started, ends, or is not ready in time; the error names it.
     pub fn start(self) -> std::io::Result<RunningFleet> {
         let folder = tempfile::tempdir()?;
         let key_file = folder.path().join("fleet.key");
@@ -185,14 +185,14 @@
         let platform = free_address()?;
         let mut fleet = RunningFleet::new(self, folder, platform)?;
         fleet.start_platform()?;
-        wait_until(|| put_text(platform, "/mode", "up").is_some())?;
+        wait_until(&mut fleet, |_| put_text(platform, "/mode", "up").is_some())?;
         let text = fleet.plan().config_text();
         let release = ConfigRelease::new(ConfigText::new("base", &text)).publish_text();
         fleet.publish_config(&release);
         fleet.allocate_processes()?;
         fleet.publish_hosts();
         fleet.start_all()?;
-        wait_until(|| fleet.is_ready())?;
+        wait_until(&mut fleet, RunningFleet::is_ready)?;
         Ok(fleet)
     }
 
@@ -259,18 +259,26 @@
     }
 }
 
-/// Waits until `condition` holds; fails after [`READY_TIMEOUT`].
-fn wait_until(mut condition: impl FnMut() -> bool) -> std::io::Result<()> {
+/// Waits until `condition` holds; fails after [`READY_TIMEOUT`], or once a process has ended.
+fn wait_until(
+    fleet: &mut RunningFleet,
+    condition: impl Fn(&RunningFleet) -> bool,
+) -> std::io::Result<()> {
     let deadline = Instant::now() + READY_TIMEOUT;
-    while Instant::now() < deadline {
-        if condition() {
+    loop {
+        let problem = if fleet.has_ended_process() {
+            "a process of the fleet ended while it started"
+        } else if condition(fleet) {
             return Ok(());
-        }
-        std::thread::sleep(Duration::from_millis(20));
+        } else if Instant::now() >= deadline {
+            "fleet did not become ready before the timeout"
+        } else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let processes = fleet.describe_problems();
+        return Err(std::io::Error::other(format!("{problem}:{processes}")));
     }
-    Err(std::io::Error::other(
-        "fleet did not become ready before the timeout",
-    ))
 }
 
 /// Returns a loopback address whose port is not in use.
--- a/crates/trial/src/fleet/child.rs
+++ b/crates/trial/src/fleet/child.rs
@@ -1,4 +1,6 @@
 use std::ffi::OsStr;
+use std::fs::{self, File};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -6,43 +8,49 @@
 
 use crate::shared_state::{SPAWN_LOCK, lock};
 
+/// Number of lines at the end of a log that describe why a process is not ready.
+const LOG_TAIL_LINES: usize = 5;
+
 /// A child process of an experiment, which is killed when the guard is dropped.
 #[derive(Debug)]
 pub struct ChildGuard {
     child: Child,
+    log: PathBuf,
 }
 
 impl ChildGuard {
-    /// Starts `program`; its standard error goes to `log`, or is discarded without one.
+    /// Starts `program`; its standard error is appended to the file `log`.
     ///
     /// # Errors
     ///
-    /// Fails if the process cannot be started.
+    /// Fails if the process cannot be started or the file cannot be opened.
     pub fn start<A: AsRef<OsStr>>(
-        program: &std::path::Path,
+        program: &Path,
         arguments: &[A],
-        log: Option<std::fs::File>,
+        log: &Path,
     ) -> std::io::Result<Self> {
         let mut command = Command::new(program);
         command.args(arguments).stdout(Stdio::null());
-        Self::spawn(command, log.map_or_else(Stdio::null, Stdio::from))
+        Self::spawn(command, open_log(log)?, log)
     }
 
-    /// Starts `program` with one environment variable; its standard output and error go to `log`.
+    /// Starts `program` with one environment variable; its standard output and error are appended to
+    /// the file `log`.
     ///
     /// # Errors
     ///
-    /// Fails if the process cannot be started.
+    /// Fails if the process cannot be started or the file cannot be opened.
     pub fn start_with_env<A: AsRef<OsStr>>(
-        program: &std::path::Path,
+        program: &Path,
         arguments: &[A],
         variable: (&str, &OsStr),
-        log: std::fs::File,
+        log: &Path,
     ) -> std::io::Result<Self> {
+        let file = open_log(log)?;
         let mut command = Command::new(program);
         command.args(arguments).env(variable.0, variable.1);
-        command.stdout(log.try_clone()?);
-        Self::spawn(command, log.into())
+        command.stdout(file.try_clone()?);
+        Self::spawn(command, file, log)
     }
 
     /// Returns the process id.
@@ -72,6 +80,26 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns how the process ended, or that it runs, and the last lines of its log.
+    #[must_use]
+    pub fn describe(&mut self) -> String {
+        let state = match self.child.try_wait() {
+            Ok(Some(status)) => format!("ended with {status}"),
+            Ok(None) => "runs".to_owned(),
+            Err(error) => format!("in unknown state: {error}"),
+        };
+        let bytes = fs::read(&self.log).unwrap_or_default();
+        let text = String::from_utf8_lossy(&bytes);
+        let lines: Vec<&str> = text.lines().collect();
+        let tail = &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..];
+        let log = if tail.is_empty() {
+            "nothing".to_owned()
+        } else {
+            tail.join("\n  ")
+        };
+        format!("{state}; end of its log:\n  {log}")
+    }
+
     /// Suspends the process, with `SIGSTOP`.
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
@@ -94,10 +122,11 @@
         None
     }
 
-    fn spawn(mut command: Command, stderr: Stdio) -> std::io::Result<Self> {
+    fn spawn(mut command: Command, stderr: File, log: &Path) -> std::io::Result<Self> {
         let _spawning = lock(&SPAWN_LOCK);
         let child = command.stdin(Stdio::null()).stderr(stderr).spawn()?;
-        Ok(Self { child })
+        let log = log.to_owned();
+        Ok(Self { child, log })
     }
 
     fn signal(&self, signal: Signal) {
@@ -112,3 +141,7 @@
         self.kill();
     }
 }
+
+fn open_log(path: &Path) -> std::io::Result<File> {
+    File::options().create(true).append(true).open(path)
+}
--- a/crates/trial/src/fleet/running.rs
+++ b/crates/trial/src/fleet/running.rs
@@ -1,3 +1,4 @@
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -78,8 +79,8 @@
     plan: FleetBuilder,
     folder: TempDir,
     platform_child: Option<ChildGuard>,
-    /// Folder in which logs outlive the experiment, from the variable `TRIAL_LOGS`.
-    log_folder: Option<PathBuf>,
+    /// Folder of the logs. They outlive the experiment if the variable `TRIAL_LOGS` names it.
+    log_folder: PathBuf,
 }
 
 impl RunningFleet {
@@ -88,10 +89,9 @@
         folder: TempDir,
         platform: SocketAddr,
     ) -> std::io::Result<Self> {
-        let log_folder = std::env::var_os("TRIAL_LOGS").map(PathBuf::from);
-        if let Some(folder) = &log_folder {
-            std::fs::create_dir_all(folder)?;
-        }
+        let kept = std::env::var_os("TRIAL_LOGS").map(PathBuf::from);
+        let log_folder = kept.unwrap_or_else(|| folder.path().join("logs"));
+        std::fs::create_dir_all(&log_folder)?;
         Ok(Self {
             routers: Vec::new(),
             sidecars: Vec::new(),
@@ -140,7 +140,8 @@
     /// Fails if it cannot be started.
     pub fn start_platform(&mut self) -> std::io::Result<()> {
         let arguments = ["platform", "--listen", &self.platform.to_string()].map(str::to_owned);
-        self.platform_child = Some(ChildGuard::start(&self.plan.program, &arguments, None)?);
+        let log = self.log_path("platform");
+        self.platform_child = Some(ChildGuard::start(&self.plan.program, &arguments, &log)?);
         Ok(())
     }
 
@@ -168,7 +169,8 @@
     ///
     /// Fails if it cannot be started.
     pub fn start_endpoint(&mut self, index: usize) -> std::io::Result<()> {
-        let endpoint = &mut self.endpoints[index];
+        let endpoint = &self.endpoints[index];
+        let log = self.log_path(&format!("{}-endpoint", endpoint.name));
         let listen = endpoint.address.to_string();
         let unit_time = humantime::format_duration(endpoint.plan.unit_time).to_string();
         let slots = endpoint.plan.slots.to_string();
@@ -182,7 +184,8 @@
         if self.plan.checks_fence && !endpoint.plan.is_model {
             arguments.push("--check-fence");
         }
-        endpoint.child = Some(ChildGuard::start(&self.plan.program, &arguments, None)?);
+        let child = ChildGuard::start(&self.plan.program, &arguments, &log)?;
+        self.endpoints[index].child = Some(child);
         Ok(())
     }
 
@@ -233,24 +236,64 @@
     /// and sidecar has a configuration.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let sees_all_sidecars = |status: &Value| {
-            let peers = status["role"]["peers"].as_array();
-            let peers = peers.map_or(0, |peers| {
-                peers
-                    .iter()
-                    .filter(|peer| peer["is_eligible"] == Value::Bool(true))
-                    .count()
-            });
-            peers >= self.sidecars.len() && status["config_revision"].as_u64() > Some(0)
-        };
-        self.routers.iter().all(|router| {
-            self.status(router.admin)
-                .as_ref()
-                .is_some_and(sees_all_sidecars)
-        }) && self.sidecars.iter().all(|sidecar| {
-            let status = self.status(sidecar.admin);
-            status.is_some_and(|status| status["config_revision"].as_u64() > Some(0))
-        })
+        self.problems().is_empty()
+    }
+
+    /// Returns whether a process that was started has ended.
+    pub(super) fn has_ended_process(&mut self) -> bool {
+        let mut children = self.children().into_iter();
+        children.any(|(_, child)| child.is_ended())
+    }
+
+    /// Describes each process that has ended or keeps the fleet from being ready.
+    pub(super) fn describe_problems(&mut self) -> String {
+        let problems = self.problems();
+        let mut text = String::new();
+        for (name, child) in self.children() {
+            let problem = problems.iter().find(|(process, _)| *process == name);
+            if problem.is_some() || child.is_ended() {
+                let problem = problem.map_or("", |(_, problem)| problem);
+                let _ = write!(text, "\n{name}: {problem} {}", child.describe());
+            }
+        }
+        text
+    }
+
+    /// Returns the name of each sidecar and router that is not ready, and why it is not.
+    fn problems(&self) -> Vec<(String, &'static str)> {
+        let sidecars = self.sidecars.iter().filter_map(|sidecar| {
+            let problem = find_problem(self.status(sidecar.admin).as_ref(), 0)?;
+            Some((format!("sidecar {}", sidecar.name), problem))
+        });
+        let routers = self.routers.iter().filter_map(|router| {
+            let status = self.status(router.admin);
+            let problem = find_problem(status.as_ref(), self.sidecars.len())?;
+            Some((format!("router {}", router.name), problem))
+        });
+        sidecars.chain(routers).collect()
+    }
+
+    /// Returns the processes that were started, with their names.
+    fn children(&mut self) -> Vec<(String, &mut ChildGuard)> {
+        let platform = self.platform_child.iter_mut();
+        let platform = platform.map(|child| ("platform".to_owned(), child));
+        let endpoints = self.endpoints.iter_mut().filter_map(|endpoint| {
+            let name = format!("endpoint {}", endpoint.name);
+            Some((name, endpoint.child.as_mut()?))
+        });
+        let sidecars = self.sidecars.iter_mut().filter_map(|sidecar| {
+            let name = format!("sidecar {}", sidecar.name);
+            Some((name, sidecar.child.as_mut()?))
+        });
+        let routers = self.routers.iter_mut().filter_map(|router| {
+            let name = format!("router {}", router.name);
+            Some((name, router.child.as_mut()?))
+        });
+        platform
+            .chain(endpoints)
+            .chain(sidecars)
+            .chain(routers)
+            .collect()
     }
 
     /// Waits up to `limit` until the view of every sidecar is confirmed; returns whether it is.
@@ -326,27 +369,20 @@
         let path = self.folder.path().join(format!("{name}.toml"));
         std::fs::write(&path, settings)?;
         let path = path.display().to_string();
-        let log = match &self.log_folder {
-            Some(folder) => {
-                let path = folder.join(format!("{name}.log"));
-                Some(
-                    std::fs::OpenOptions::new()
-                        .create(true)
-                        .append(true)
-                        .open(path)?,
-                )
-            }
-            None => None,
-        };
+        let log = self.log_path(name);
         match &self.plan.binary {
-            Some(binary) => ChildGuard::start(binary, &[role, "--settings", &path], log),
+            Some(binary) => ChildGuard::start(binary, &[role, "--settings", &path], &log),
             None => {
                 let arguments = ["cicadalock", role, "--settings", &path];
-                ChildGuard::start(&self.plan.program, &arguments, log)
+                ChildGuard::start(&self.plan.program, &arguments, &log)
             }
         }
     }
 
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.log_folder.join(format!("{name}.log"))
+    }
+
     fn process_settings(&self, name: &str, zone: &str, admin: SocketAddr) -> String {
         let traces = self
             .plan
@@ -396,3 +432,22 @@
         self.proxy.as_ref().map_or(self.listen, FaultProxy::address)
     }
 }
+
+/// Returns why a process with this status, which has to see `sidecars` eligible sidecars, is not ready.
+fn find_problem(status: Option<&Value>, sidecars: usize) -> Option<&'static str> {
+    let Some(status) = status else {
+        return Some("does not answer at its status port;");
+    };
+    let peers = status["role"]["peers"].as_array();
+    let eligible = peers.map_or(0, |peers| {
+        let is_eligible = |peer: &&Value| peer["is_eligible"] == Value::Bool(true);
+        peers.iter().filter(is_eligible).count()
+    });
+    if status["config_revision"].as_u64().unwrap_or(0) == 0 {
+        Some("has no configuration;")
+    } else if eligible < sidecars {
+        Some("does not see every sidecar as eligible;")
+    } else {
+        None
+    }
+}
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -1,4 +1,4 @@
-use std::fs::{self, File};
+use std::fs;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -25,6 +25,9 @@
 const CALLERS_PORT: u16 = 18_006;
 const READY_PORT: u16 = 18_007;
 
+/// Role of a router in the arguments of its process.
+const ROUTER_ROLE: &str = "gateway";
+
 /// Timeout for the routers to become ready with their first configuration.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -81,10 +84,9 @@
         if self.child.is_some() {
             return Ok(());
         }
-        let log = File::options().create(true).append(true).open(&self.log)?;
         let variable = (SETTINGS_VARIABLE, self.settings.as_os_str());
         let arguments = ["cicadalock", self.role];
-        let child = ChildGuard::start_with_env(&self.program, &arguments, variable, log)?;
+        let child = ChildGuard::start_with_env(&self.program, &arguments, variable, &self.log)?;
         self.child = Some(child);
         self.is_stopping = false;
         Ok(())
@@ -150,16 +152,43 @@
         }
         let until = Instant::now() + START_TIMEOUT;
         while !testbed.routers.iter().all(ManagedProcess::is_ready) {
+            if testbed.has_ended_process() {
+                return Err(testbed.start_error("a process ended while it started"));
+            }
             if Instant::now() > until {
-                return Err(io::Error::other(
-                    "routers did not become ready before the start timeout",
-                ));
+                let problem = "routers did not become ready before the start timeout";
+                return Err(testbed.start_error(problem));
             }
             std::thread::sleep(Duration::from_millis(50));
         }
         Ok(testbed)
     }
 
+    fn has_ended_process(&mut self) -> bool {
+        let mut children = self
+            .processes()
+            .filter_map(|process| process.child.as_mut());
+        children.any(ChildGuard::is_ended)
+    }
+
+    /// Returns an error that describes each process that has ended or is a router that is not ready.
+    fn start_error(&mut self, problem: &str) -> io::Error {
+        let mut text = problem.to_owned();
+        for process in self.processes() {
+            let is_unready = process.role == ROUTER_ROLE && !process.is_ready();
+            if let Some(child) = &mut process.child
+                && (is_unready || child.is_ended())
+            {
+                text.push_str(&format!("\n{}: {}", process.name, child.describe()));
+            }
+        }
+        io::Error::other(text)
+    }
+
+    fn processes(&mut self) -> impl Iterator<Item = &mut ManagedProcess> {
+        self.routers.iter_mut().chain(&mut self.desks)
+    }
+
     /// Returns the address at which callers reach each router.
     pub(super) fn callers(&self) -> Vec<SocketAddr> {
         self.caller_proxies
@@ -501,7 +530,7 @@
         self.store_proxies.push(proxy);
         self.caller_proxies
             .push(FaultProxy::start(settings.callers)?);
-        let mut process = new_process(&settings, "gateway", program, folder)?;
+        let mut process = new_process(&settings, ROUTER_ROLE, program, folder)?;
         process.start()?;
         self.routers.push(process);
         Ok(())
