fix(trial): experiments of different processes no longer take each other's ports

Load is not the cause: a fleet takes 0.2 s at load averages of 20 to 65.

Change: a fleet claims a block of loopback addresses, by a listener on one of them that it holds until its processes have ended, and chooses ports there without trying them; the lock of around starts is not needed any more. The soak, which derived its addresses from the process id modulo 200, claims a block as well, until its process exits, as its endpoints do.

--- a/crates/trial/src/fleet/builder.rs
+++ b/crates/trial/src/fleet/builder.rs
@@ -1,23 +1,18 @@
 use std::fmt::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use cicadalock_core::config::{ConfigRelease, ConfigText, TokenDigest};
+use cicadalock_standins::AddressBlock;
 
 use super::client::put_text;
 use super::running::{EndpointHandle, RouterHandle, RunningFleet, SidecarHandle};
 use crate::proxy::FaultProxy;
-use crate::shared_state::{SPAWN_LOCK, lock};
 
 /// Timeout for the platform to answer, and then for the fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Port range of the processes of experiments, without `LAST_PORT` itself.
-const FIRST_PORT: u16 = 10_000;
-const LAST_PORT: u16 = 32_000;
-
 /// A service of an experiment and its endpoints.
 #[derive(Debug, Clone)]
 pub struct ServicePlan {
@@ -182,14 +177,16 @@
         let folder = tempfile::tempdir()?;
         let key_file = folder.path().join("fleet.key");
         std::fs::write(&key_file, "a secret of the experiment's fleet\n")?;
-        let platform = free_address()?;
-        let mut fleet = RunningFleet::new(self, folder, platform)?;
+        let block = AddressBlock::claim()?;
+        let mut addresses = block.socket_addresses();
+        let platform = next_address(&mut addresses)?;
+        let mut fleet = RunningFleet::new(self, folder, block, platform)?;
         fleet.start_platform()?;
         wait_until(&mut fleet, |_| put_text(platform, "/mode", "up").is_some())?;
         let text = fleet.plan().config_text();
         let release = ConfigRelease::new(ConfigText::new("base", &text)).publish_text();
         fleet.publish_config(&release);
-        fleet.allocate_processes()?;
+        fleet.allocate_processes(&mut addresses)?;
         fleet.publish_hosts();
         fleet.start_all()?;
         wait_until(&mut fleet, RunningFleet::is_ready)?;
@@ -198,20 +195,21 @@
 
     pub(super) fn allocate_handles(
         &self,
+        addresses: &mut impl Iterator<Item = SocketAddr>,
     ) -> std::io::Result<(Vec<EndpointHandle>, Vec<SidecarHandle>, Vec<RouterHandle>)> {
         let mut endpoints = Vec::new();
         let mut sidecars = Vec::new();
         for service in &self.services {
             for index in 0..service.replicas {
                 let name = format!("{}-{index}", service.name);
-                let address = free_address()?;
+                let address = next_address(addresses)?;
                 endpoints.push(EndpointHandle {
                     name: name.clone(),
                     plan: service.clone(),
                     address,
                     child: None,
                 });
-                let listen = free_address()?;
+                let listen = next_address(addresses)?;
                 let proxy = if self.has_proxies {
                     Some(FaultProxy::start(listen)?)
                 } else {
@@ -222,7 +220,7 @@
                     service: service.name.clone(),
                     zone: self.zones[index % self.zones.len()].clone(),
                     listen,
-                    admin: free_address()?,
+                    admin: next_address(addresses)?,
                     endpoint: address,
                     proxy,
                     child: None,
@@ -235,8 +233,8 @@
             routers.push(RouterHandle {
                 name: format!("router-{index}"),
                 zone: self.zones[index % self.zones.len()].clone(),
-                callers: free_address()?,
-                admin: free_address()?,
+                callers: next_address(addresses)?,
+                admin: next_address(addresses)?,
                 child: None,
             });
         }
@@ -281,23 +279,7 @@
     }
 }
 
-/// Returns a loopback address whose port is not in use.
-///
-/// Ports come from below the range for outgoing connections, so that no such connection takes the
-/// port before the process binds it.
-pub(super) fn free_address() -> std::io::Result<SocketAddr> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let span = u32::from(LAST_PORT - FIRST_PORT);
-    let start = std::process::id().wrapping_mul(211);
-    let _spawning = lock(&SPAWN_LOCK);
-    for _ in 0..span {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start.wrapping_add(step) % span) as u16;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr();
-        }
-    }
-    Err(std::io::Error::other(
-        "no free loopback port in the range of experiments",
-    ))
+fn next_address(addresses: &mut impl Iterator<Item = SocketAddr>) -> std::io::Result<SocketAddr> {
+    let address = addresses.next();
+    address.ok_or_else(|| std::io::Error::other("no port is left for the fleet"))
 }
--- a/crates/trial/src/fleet/child.rs
+++ b/crates/trial/src/fleet/child.rs
@@ -6,8 +6,6 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::shared_state::{SPAWN_LOCK, lock};
-
 /// Number of lines at the end of a log that describe why a process is not ready.
 const LOG_TAIL_LINES: usize = 5;
 
@@ -123,7 +121,6 @@
     }
 
     fn spawn(mut command: Command, stderr: File, log: &Path) -> std::io::Result<Self> {
-        let _spawning = lock(&SPAWN_LOCK);
         let child = command.stdin(Stdio::null()).stderr(stderr).spawn()?;
         let log = log.to_owned();
         Ok(Self { child, log })
--- a/crates/trial/src/fleet/running.rs
+++ b/crates/trial/src/fleet/running.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+use cicadalock_standins::AddressBlock;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -81,12 +82,15 @@
     platform_child: Option<ChildGuard>,
     /// Folder of the logs. They outlive the experiment if the variable `TRIAL_LOGS` names it.
     log_folder: PathBuf,
+    /// Dropped after the processes that listen on its addresses.
+    _block: AddressBlock,
 }
 
 impl RunningFleet {
     pub(super) fn new(
         plan: FleetBuilder,
         folder: TempDir,
+        block: AddressBlock,
         platform: SocketAddr,
     ) -> std::io::Result<Self> {
         let kept = std::env::var_os("TRIAL_LOGS").map(PathBuf::from);
@@ -101,6 +105,7 @@
             folder,
             platform_child: None,
             log_folder,
+            _block: block,
         })
     }
 
@@ -145,8 +150,11 @@
         Ok(())
     }
 
-    pub(super) fn allocate_processes(&mut self) -> std::io::Result<()> {
-        (self.endpoints, self.sidecars, self.routers) = self.plan.allocate_handles()?;
+    pub(super) fn allocate_processes(
+        &mut self,
+        addresses: &mut impl Iterator<Item = SocketAddr>,
+    ) -> std::io::Result<()> {
+        (self.endpoints, self.sidecars, self.routers) = self.plan.allocate_handles(addresses)?;
         Ok(())
     }
 
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -1,14 +1,13 @@
 use std::fs;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{
-    CrashRule, CrashStyle, HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config,
-    is_ready,
+    AddressBlock, CrashRule, CrashStyle, HostSettings, SETTINGS_VARIABLE, StandInEndpoint,
+    StandInStore, config, is_ready,
 };
 
 use super::fault_plan::{FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
@@ -38,7 +37,6 @@
 /// The processes, stand-ins and proxies of a soak; all of them end when it is dropped.
 #[derive(Debug)]
 pub(super) struct SoakTestbed {
-    network: HostNetwork,
     size: SoakSize,
     pub(super) endpoints: Vec<StandInEndpoint>,
     pub(super) routers: Vec<ManagedProcess>,
@@ -63,6 +61,7 @@
     pub(super) limits: Vec<NamedLimit>,
     /// Number of parts so far that crash endpoints.
     crash_parts: u64,
+    network: AddressBlock,
 }
 
 /// A router or desk process, which may be down.
@@ -120,8 +119,10 @@
     /// ready.
     pub(super) fn start(program: &Path, folder: &Path, size: SoakSize) -> io::Result<Self> {
         let store = StandInStore::start();
+        let network = AddressBlock::claim()?;
+        // The endpoints listen until this process exits.
+        network.keep()?;
         let mut testbed = Self {
-            network: HostNetwork::next(),
             size,
             endpoints: Vec::new(),
             routers: Vec::new(),
@@ -142,6 +143,7 @@
             unexpected_exits: Vec::new(),
             limits: Vec::new(),
             crash_parts: 0,
+            network,
         };
         for index in 0..size.endpoints {
             testbed.add_endpoint(index, program, folder)?;
@@ -489,7 +491,7 @@
     }
 
     fn add_endpoint(&mut self, index: usize, program: &Path, folder: &Path) -> io::Result<()> {
-        let ip = self.network.endpoint(index);
+        let ip = self.network.first_half(1 + index as u8);
         let has_desk = index < self.size.desks;
         let service = if has_desk { "model" } else { "desk" };
         let name = format!("i-{index}");
@@ -519,7 +521,7 @@
     }
 
     fn add_router(&mut self, index: usize, program: &Path, folder: &Path) -> io::Result<()> {
-        let ip = self.network.router(index);
+        let ip = self.network.second_half(1 + index as u8);
         let proxy = FaultProxy::start(self.store.address)?;
         let settings = host_settings(
             format!("edge-{index}"),
@@ -565,45 +567,6 @@
     }
 }
 
-/// Number of soaks that this process has started; each uses its own addresses.
-static NETWORK_COUNT: AtomicU8 = AtomicU8::new(0);
-
-/// Loopback addresses of the hosts of one soak. They depend on the process id, so that soaks in
-/// different processes can run at the same time.
-#[derive(Debug, Clone, Copy)]
-struct HostNetwork {
-    process_octet: u8,
-    soak_octet: u8,
-}
-
-impl HostNetwork {
-    fn next() -> Self {
-        Self {
-            process_octet: 10 + (std::process::id() % 200) as u8,
-            // Endpoints and routers have an octet each.
-            soak_octet: NETWORK_COUNT.fetch_add(2, Ordering::Relaxed),
-        }
-    }
-
-    const fn endpoint(self, index: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(
-            127,
-            self.process_octet,
-            self.soak_octet,
-            1 + index as u8,
-        ))
-    }
-
-    const fn router(self, index: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(
-            127,
-            self.process_octet,
-            self.soak_octet + 1,
-            1 + index as u8,
-        ))
-    }
-}
-
 fn host_settings(name: String, ip: IpAddr, internal_port: u16, store: SocketAddr) -> HostSettings {
     HostSettings {
         name,
