test(core): an endpoint that crashes again before it completes an answer is reported once (red)

A router that has reported a crash of an endpoint drops what the endpoint breaks later, until it has completed an answer there or one went on for half a second, for up to 10 s; an endpoint that is back under the same id after 0.4 s and crashes on the same part again is thus reported once. The new test shows it: 1 report, due 2. Its second request has the beginning of an answer, which an endpoint that is down cannot send.

--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -299,6 +299,17 @@
     assert_eq!(guard.board().report_count(), 2);
 }
 
+/// The second answer had begun, which only an endpoint that is back can do.
+#[test]
+fn an_endpoint_that_is_back_and_crashes_again_before_it_completes_an_answer_is_reported_again() {
+    let mut guard = PartGuard::default();
+    lose(&mut guard, 1, 0, false);
+    guard.record_crash(&endpoint(1), at(70));
+    lose(&mut guard, 1, 700, false);
+    guard.record_crash(&endpoint(1), at(770));
+    assert_eq!(guard.board().report_count(), 2);
+}
+
 #[test]
 fn a_part_that_was_sound_before_is_tried_soon_and_then_ever_more_rarely() {
     let mut board = board_in_turn(3, &[BAD]);
