--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -1,14 +1,13 @@
-use std::fs::{self, File};
+use std::fs;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{
-    CrashRule, CrashStyle, HostSettings, SETTINGS_VARIABLE, StandInEndpoint, StandInStore, config,
-    is_ready,
+    AddressBlock, CrashRule, CrashStyle, HostSettings, SETTINGS_VARIABLE, StandInEndpoint,
+    StandInStore, config, is_ready,
 };
 
 use super::fault_plan::{FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
@@ -25,6 +24,9 @@
 const CALLERS_PORT: u16 = 18_006;
 const READY_PORT: u16 = 18_007;
 
+/// Role of a router in the arguments of its process.
+const ROUTER_ROLE: &str = "gateway";
+
 /// Timeout for the routers to become ready with their first configuration.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -35,7 +37,6 @@
 /// The processes, stand-ins and proxies of a soak; all of them end when it is dropped.
 #[derive(Debug)]
 pub(super) struct SoakTestbed {
-    network: HostNetwork,
     size: SoakSize,
     pub(super) endpoints: Vec<StandInEndpoint>,
     pub(super) routers: Vec<ManagedProcess>,
@@ -60,6 +61,7 @@
     pub(super) limits: Vec<NamedLimit>,
     /// Number of parts so far that crash endpoints.
     crash_parts: u64,
+    network: AddressBlock,
 }
 
 /// A router or desk process, which may be down.
@@ -81,10 +83,9 @@
         if self.child.is_some() {
             return Ok(());
         }
-        let log = File::options().create(true).append(true).open(&self.log)?;
         let variable = (SETTINGS_VARIABLE, self.settings.as_os_str());
         let arguments = ["cicadalock", self.role];
-        let child = ChildGuard::start_with_env(&self.program, &arguments, variable, log)?;
+        let child = ChildGuard::start_with_env(&self.program, &arguments, variable, &self.log)?;
         self.child = Some(child);
         self.is_stopping = false;
         Ok(())
@@ -118,8 +119,10 @@
     /// ready.
     pub(super) fn start(program: &Path, folder: &Path, size: SoakSize) -> io::Result<Self> {
         let store = StandInStore::start();
+        let network = AddressBlock::claim()?;
+        // The endpoints listen until this process exits.
+        network.keep()?;
         let mut testbed = Self {
-            network: HostNetwork::next(),
             size,
             endpoints: Vec::new(),
             routers: Vec::new(),
@@ -140,6 +143,7 @@
             unexpected_exits: Vec::new(),
             limits: Vec::new(),
             crash_parts: 0,
+            network,
         };
         for index in 0..size.endpoints {
             testbed.add_endpoint(index, program, folder)?;
@@ -150,16 +154,43 @@
         }
         let until = Instant::now() + START_TIMEOUT;
         while !testbed.routers.iter().all(ManagedProcess::is_ready) {
+            if testbed.has_ended_process() {
+                return Err(testbed.start_error("a process ended while it started"));
+            }
             if Instant::now() > until {
-                return Err(io::Error::other(
-                    "routers did not become ready before the start timeout",
-                ));
+                let problem = "routers did not become ready before the start timeout";
+                return Err(testbed.start_error(problem));
             }
             std::thread::sleep(Duration::from_millis(50));
         }
         Ok(testbed)
     }
 
+    fn has_ended_process(&mut self) -> bool {
+        let mut children = self
+            .processes()
+            .filter_map(|process| process.child.as_mut());
+        children.any(ChildGuard::is_ended)
+    }
+
+    /// Returns an error that describes each process that has ended or is a router that is not ready.
+    fn start_error(&mut self, problem: &str) -> io::Error {
+        let mut text = problem.to_owned();
+        for process in self.processes() {
+            let is_unready = process.role == ROUTER_ROLE && !process.is_ready();
+            if let Some(child) = &mut process.child
+                && (is_unready || child.is_ended())
+            {
+                text.push_str(&format!("\n{}: {}", process.name, child.describe()));
+            }
+        }
+        io::Error::other(text)
+    }
+
+    fn processes(&mut self) -> impl Iterator<Item = &mut ManagedProcess> {
+        self.routers.iter_mut().chain(&mut self.desks)
+    }
+
     /// Returns the address at which callers reach each router.
     pub(super) fn callers(&self) -> Vec<SocketAddr> {
         self.caller_proxies
@@ -460,7 +491,7 @@
     }
 
     fn add_endpoint(&mut self, index: usize, program: &Path, folder: &Path) -> io::Result<()> {
-        let ip = self.network.endpoint(index);
+        let ip = self.network.first_half(1 + index as u8);
         let has_desk = index < self.size.desks;
         let service = if has_desk { "model" } else { "desk" };
         let name = format!("i-{index}");
@@ -490,7 +521,7 @@
     }
 
     fn add_router(&mut self, index: usize, program: &Path, folder: &Path) -> io::Result<()> {
-        let ip = self.network.router(index);
+        let ip = self.network.second_half(1 + index as u8);
         let proxy = FaultProxy::start(self.store.address)?;
         let settings = host_settings(
             format!("edge-{index}"),
@@ -501,7 +532,7 @@
         self.store_proxies.push(proxy);
         self.caller_proxies
             .push(FaultProxy::start(settings.callers)?);
-        let mut process = new_process(&settings, "gateway", program, folder)?;
+        let mut process = new_process(&settings, ROUTER_ROLE, program, folder)?;
         process.start()?;
         self.routers.push(process);
         Ok(())
@@ -536,45 +567,6 @@
     }
 }
 
-/// Number of soaks that this process has started; each uses its own addresses.
-static NETWORK_COUNT: AtomicU8 = AtomicU8::new(0);
-
-/// Loopback addresses of the hosts of one soak. They depend on the process id, so that soaks in
-/// different processes can run at the same time.
-#[derive(Debug, Clone, Copy)]
-struct HostNetwork {
-    process_octet: u8,
-    soak_octet: u8,
-}
-
-impl HostNetwork {
-    fn next() -> Self {
-        Self {
-            process_octet: 10 + (std::process::id() % 200) as u8,
-            // Endpoints and routers have an octet each.
-            soak_octet: NETWORK_COUNT.fetch_add(2, Ordering::Relaxed),
-        }
-    }
-
-    const fn endpoint(self, index: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(
-            127,
-            self.process_octet,
-            self.soak_octet,
-            1 + index as u8,
-        ))
-    }
-
-    const fn router(self, index: usize) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(
-            127,
-            self.process_octet,
-            self.soak_octet + 1,
-            1 + index as u8,
-        ))
-    }
-}
-
 fn host_settings(name: String, ip: IpAddr, internal_port: u16, store: SocketAddr) -> HostSettings {
     HostSettings {
         name,
