feat(soak): endpoints fall silent, and the store comes back from an older copy

The operator writes again within 2 s, endpoints with their heartbeats, those that leave again once the store is stable.

Two more callers for each router: one with streams of a long timeout, one with revoked tokens; before, no caller ever sent a token after its revocation, so that the check of the revocation bound could not fail.

A stop that was repeated, or followed by a kill, excused its router for the rest of a soak; it ends with the start now.

--- a/crates/trial/src/soak/fault_plan.rs
+++ b/crates/trial/src/soak/fault_plan.rs
@@ -36,6 +36,26 @@
 /// Seed offset of what endpoints tell, so that it does not change the other faults of a seed.
 const NEWS_SEED: u64 = 0x6e65_7773;
 
+/// Seed offset of the silences of endpoints.
+const SILENCE_SEED: u64 = 0x7175_6965;
+
+/// Time from the start of one silence to the start of the next, and duration, in milliseconds.
+const SILENCE_INTERVAL_MS: std::ops::Range<u64> = 400..2_400;
+const SILENCE_DURATION_MS: std::ops::Range<u64> = 300..3_000;
+
+/// Seed offset of restores of the store and of the faults beside them.
+const RESTORE_SEED: u64 = 0x6f6c_6465;
+
+/// Time from the end of one restore to the start of the next that does not follow it at once, in
+/// milliseconds.
+const RESTORE_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_500;
+
+/// Time for which the store is away, age of its copy, and time until the operator writes again, in
+/// milliseconds.
+const RESTORE_DURATION_MS: std::ops::Range<u64> = 100..1_200;
+const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 100..2_000;
+
 /// A link that passes through a [`FaultProxy`](crate::proxy::FaultProxy).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakLink {
@@ -58,6 +78,32 @@
     Desk(usize),
 }
 
+/// Endpoints that fall silent at the same time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilentGroup {
+    /// The endpoint with this index.
+    One(usize),
+    /// Those with an even index, or with an odd one.
+    EveryOther {
+        /// Whether the index is odd.
+        is_odd: bool,
+    },
+    /// All endpoints.
+    All,
+}
+
+impl SilentGroup {
+    /// Returns whether the endpoint with this index is one of them.
+    #[must_use]
+    pub const fn contains(self, index: usize) -> bool {
+        match self {
+            Self::One(one) => one == index,
+            Self::EveryOther { is_odd } => is_odd != index.is_multiple_of(2),
+            Self::All => true,
+        }
+    }
+}
+
 /// A fault that a soak injects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakFault {
@@ -92,6 +138,15 @@
     CrashPart(CrashStyle),
     /// Makes the endpoint with this index name a limit, in tenths of a request per second.
     NameLimit(usize, u32),
+    /// Makes endpoints send nothing for the duration of the fault, and then go on.
+    Silence(SilentGroup),
+    /// Makes the store refuse every request and come back from a copy.
+    StoreRestores {
+        /// Age of the copy at the end of the fault.
+        age: Duration,
+        /// Time from then until the operator writes again what was lost.
+        rewrite_delay: Duration,
+    },
 }
 
 /// Numbers of the processes and stand-ins of a soak.
@@ -159,6 +214,8 @@
             }
         }
         steps.extend(draw_news(seed, length, size));
+        steps.extend(draw_silences(seed, length, size));
+        steps.extend(draw_restores(seed, length, size));
         steps.sort_by_key(|step| step.at);
         Self { steps }
     }
@@ -183,6 +240,99 @@
     steps
 }
 
+fn draw_silences(seed: u64, length: Duration, size: SoakSize) -> Vec<FaultStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ SILENCE_SEED);
+    let mut steps = Vec::new();
+    let mut at = draw_time(&mut rng, SILENCE_INTERVAL_MS);
+    while at < length {
+        let group = match rng.random_range(0..6) {
+            0 => SilentGroup::All,
+            1 => SilentGroup::EveryOther {
+                is_odd: rng.random_range(0..2) > 0,
+            },
+            _ => SilentGroup::One(rng.random_range(0..size.endpoints)),
+        };
+        steps.push(FaultStep {
+            at,
+            span: draw_time(&mut rng, SILENCE_DURATION_MS),
+            fault: SoakFault::Silence(group),
+        });
+        at += draw_time(&mut rng, SILENCE_INTERVAL_MS);
+    }
+    steps
+}
+
+/// Draws restores of the store, one in three followed by a second one, and faults beside them.
+fn draw_restores(seed: u64, length: Duration, size: SoakSize) -> Vec<FaultStep> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let mut steps = Vec::new();
+    let mut at = draw_time(&mut rng, RESTORE_INTERVAL_MS);
+    while at < length {
+        let span = draw_time(&mut rng, RESTORE_DURATION_MS);
+        let age = draw_time(&mut rng, COPY_AGE_MS);
+        let restore = SoakFault::StoreRestores {
+            age,
+            rewrite_delay: draw_time(&mut rng, REWRITE_DELAY_MS),
+        };
+        let back_at = at + span;
+        let lost_from = back_at.saturating_sub(age);
+        steps.push(FaultStep {
+            at,
+            span,
+            fault: restore,
+        });
+        let lost_at = lost_from + (back_at - lost_from).mul_f64(rng.random_range(0.1..0.9));
+        let change_at = match rng.random_range(0..4) {
+            0 => None,
+            1 => Some(back_at + draw_time(&mut rng, REWRITE_DELAY_MS)),
+            _ => Some(lost_at),
+        };
+        steps.extend(change_at.map(|at| FaultStep {
+            at,
+            span: Duration::ZERO,
+            fault: SoakFault::ChangeTokens,
+        }));
+        steps.push(FaultStep {
+            at: at.saturating_sub(draw_time(&mut rng, RESTORE_DURATION_MS)),
+            span: span + draw_time(&mut rng, FAULT_DURATION_MS),
+            fault: draw_fault_beside_restore(&mut rng, size),
+        });
+        if rng.random_range(0..2) == 0 {
+            let endpoint = rng.random_range(0..size.endpoints);
+            let faults = [SoakFault::Leave(endpoint), SoakFault::Drain(endpoint)];
+            steps.push(FaultStep {
+                at: lost_at,
+                span: draw_time(&mut rng, LIMIT_DURATION_MS),
+                fault: faults[rng.random_range(0..faults.len())],
+            });
+        }
+        let pause = if rng.random_range(0..3) == 0 {
+            REWRITE_DELAY_MS
+        } else {
+            RESTORE_INTERVAL_MS
+        };
+        at = back_at + draw_time(&mut rng, pause);
+    }
+    steps
+}
+
+/// Draws what happens to a router while the store comes back.
+fn draw_fault_beside_restore(rng: &mut StdRng, size: SoakSize) -> SoakFault {
+    let router = rng.random_range(0..size.routers);
+    let process = SoakProcess::Router(router);
+    match rng.random_range(0..6) {
+        0 => SoakFault::Freeze(process),
+        1..3 => SoakFault::Kill(process),
+        3 => SoakFault::Stop(process),
+        4 => SoakFault::Cut(SoakLink::Store(router)),
+        _ => SoakFault::Impair(SoakLink::Store(router), draw_impairment(rng)),
+    }
+}
+
+fn draw_time(rng: &mut StdRng, millis: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(millis))
+}
+
 fn draw_fault(rng: &mut StdRng, size: SoakSize) -> SoakFault {
     let process = if rng.random_range(0..3) > 0 {
         SoakProcess::Router(rng.random_range(0..size.routers))
--- a/crates/trial/src/soak/guarantees.rs
+++ b/crates/trial/src/soak/guarantees.rs
@@ -4,10 +4,11 @@
 use cicadalock_core::collect::SortedMap;
 use cicadalock_standins::{Answer, EndpointRun, HostSettings, StandInEndpoint, shared_parts};
 
+use super::lasting_guarantees::{check_answer, check_lasting_configs, check_use};
 use super::soak_callers::{CallKind, CallRecord, router_of};
 
 /// Statuses that tell the caller that the request did not run and will not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+pub(super) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Window in which the requests of a limited endpoint are counted, and the number of requests in it above
 /// one and a half times what the limit allows.
@@ -46,10 +47,42 @@
     pub unexpected_exits: Vec<String>,
     /// Number of desks.
     pub desks: usize,
+    /// Ids of the endpoints.
+    pub endpoints: Vec<String>,
     /// Limits that endpoints named.
     pub limits: Vec<NamedLimit>,
     /// Crashes of endpoints, each with the id of the endpoint.
     pub crashes: Vec<(String, Instant)>,
+    /// Times in which the store held each token.
+    pub tokens: Vec<TokenPeriod>,
+    /// Silences of endpoints.
+    pub silences: Vec<EndpointSilence>,
+    /// Index of each router that was started again, and when.
+    pub starts: Vec<(usize, Instant)>,
+    /// Index of each router that was asked to stop, and when.
+    pub stops: Vec<(usize, Instant)>,
+}
+
+/// A time in which the store held a configuration with a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenPeriod {
+    /// Number of the token.
+    pub token: u64,
+    /// Time at which the store acknowledged the configuration.
+    pub from: Instant,
+    /// Time at which it was replaced or lost; `None` if it never was.
+    pub until: Option<Instant>,
+}
+
+/// A time in which an endpoint sent nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointSilence {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Start of the silence.
+    pub from: Instant,
+    /// End of the silence.
+    pub until: Instant,
 }
 
 /// A time in which an endpoint named a limit in each answer.
@@ -106,6 +139,8 @@
     pub from: Instant,
     /// End of the fault; `None` if it never ended.
     pub until: Option<Instant>,
+    /// Whether it is planned work: a process is asked to stop.
+    pub is_planned: bool,
 }
 
 impl SoakDisturbance {
@@ -147,8 +182,12 @@
     }
     for call in &evidence.calls {
         let ran = runs.get(&call.number.as_str());
-        check_call(call, ran.map_or(&[], Vec::as_slice), &mut violations);
+        let ran = ran.map_or(&[][..], Vec::as_slice);
+        check_call(call, ran, &mut violations);
+        check_answer(call, ran, evidence, &mut violations);
     }
+    check_lasting_configs(evidence, &calls, &mut violations);
+    check_use(evidence, &calls, &mut violations);
     check_fault_free(evidence, &runs, &mut violations);
     for departure in &evidence.departures {
         check_departure(departure, evidence, &mut violations);
@@ -284,7 +323,7 @@
         let status = call.answer.as_ref().map(|answer| answer.status);
         let number = &call.number;
         let is_served = match call.kind {
-            CallKind::Leaving | CallKind::Crashing => true,
+            CallKind::Leaving | CallKind::Crashing | CallKind::Revoked => true,
             // Every endpoint breaks off its response, which the router reports as 502.
             CallKind::Broken => status == Some(502),
             _ => status == Some(200),
@@ -417,7 +456,7 @@
 }
 
 impl SoakEvidence {
-    fn is_disturbed(&self, part: DisturbedPart, at: Instant) -> bool {
+    pub(super) fn is_disturbed(&self, part: DisturbedPart, at: Instant) -> bool {
         let mut faults = self.disturbances.iter().filter(|fault| fault.part == part);
         faults.any(|fault| fault.suspends_bounds(at))
     }
@@ -443,6 +482,6 @@
 }
 
 /// Returns the index in the id of a soak's endpoint.
-fn endpoint_index(id: &str) -> Option<usize> {
+pub(super) fn endpoint_index(id: &str) -> Option<usize> {
     id.strip_prefix("i-")?.parse().ok()
 }
--- a/crates/trial/src/soak/mod.rs
+++ b/crates/trial/src/soak/mod.rs
@@ -18,14 +18,17 @@
 
 mod fault_plan;
 mod guarantees;
+mod lasting_guarantees;
 mod soak_callers;
 mod soak_run;
 mod soak_testbed;
 
-pub use fault_plan::{FaultPlan, FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
+pub use fault_plan::{
+    FaultPlan, FaultStep, SilentGroup, SoakFault, SoakLink, SoakProcess, SoakSize,
+};
 pub use guarantees::{
-    DisturbedPart, EndpointDeparture, GuaranteeViolation, NamedLimit, SoakDisturbance,
-    SoakEvidence, find_violations,
+    DisturbedPart, EndpointDeparture, EndpointSilence, GuaranteeViolation, NamedLimit,
+    SoakDisturbance, SoakEvidence, TokenPeriod, find_violations,
 };
 pub use soak_callers::{CallKind, CallRecord};
 pub use soak_run::{SoakOptions, SoakReport, run_soak};
--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -27,6 +27,12 @@
 /// Pause between two requests of a caller, in milliseconds.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 2..40;
 
+/// Pause between two requests with revoked tokens, in milliseconds.
+const REVOKED_INTERVAL_MS: std::ops::Range<u64> = 40..120;
+
+/// Number of the newest revoked tokens that are tried.
+const REVOKED_TOKENS: u64 = 3;
+
 /// Kind of a request, which selects its path and the expected behavior.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -46,6 +52,23 @@
     Broken,
     /// A request whose caller disconnects while it runs.
     Leaving,
+    /// A stream that may be resumed at another endpoint, with a long timeout.
+    Journey,
+    /// A stream that must not be resumed at another endpoint, with a long timeout.
+    Consultation,
+    /// May be retried, and carries a token that was revoked.
+    Revoked,
+}
+
+/// What a caller asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerRole {
+    /// Requests of most kinds.
+    Mixed,
+    /// Streams with a long timeout.
+    Patient,
+    /// Requests with revoked tokens.
+    Revoked,
 }
 
 /// A request as observed by its caller.
@@ -82,7 +105,13 @@
     pub const fn is_retryable(self) -> bool {
         matches!(
             self,
-            Self::Lookup | Self::Broken | Self::Plan | Self::Model | Self::Crashing
+            Self::Lookup
+                | Self::Broken
+                | Self::Plan
+                | Self::Model
+                | Self::Crashing
+                | Self::Journey
+                | Self::Revoked
         )
     }
 
@@ -91,10 +120,34 @@
     pub const fn is_stream(self) -> bool {
         matches!(
             self,
-            Self::Plan | Self::Advice | Self::Model | Self::Crashing
+            Self::Plan
+                | Self::Advice
+                | Self::Model
+                | Self::Crashing
+                | Self::Journey
+                | Self::Consultation
         )
     }
 
+    /// Time after which an answer is no longer owed: the route's timeout or the caller's deadline.
+    #[must_use]
+    pub const fn time_limit(self) -> Duration {
+        match self {
+            Self::Journey | Self::Consultation => Duration::from_secs(5),
+            _ => Duration::from_millis(1_200),
+        }
+    }
+
+    /// Pause within a stream after which its caller leaves: the longest of two seconds, four
+    /// objectives and eight longest pauses.
+    #[must_use]
+    pub const fn patience(self) -> Duration {
+        match self {
+            Self::Consultation => Duration::from_secs(2),
+            _ => Duration::from_millis(3_200),
+        }
+    }
+
     fn draw(rng: &mut StdRng) -> (Self, &'static str) {
         match rng.random_range(0..12) {
             0..3 => (Self::Booking, "/book/ok"),
@@ -108,6 +161,41 @@
     }
 }
 
+impl CallerRole {
+    fn draw(self, rng: &mut StdRng) -> (CallKind, &'static str) {
+        match self {
+            Self::Mixed => CallKind::draw(rng),
+            Self::Patient if rng.random_range(0..2) == 0 => (CallKind::Journey, "/long/stream"),
+            Self::Patient => (CallKind::Consultation, "/wait/stream"),
+            Self::Revoked => (CallKind::Revoked, "/look/ok"),
+        }
+    }
+
+    /// Returns the number of the next request's token, or `None` if there is none yet.
+    fn token(self, newest: u64, rng: &mut StdRng) -> Option<u64> {
+        match self {
+            Self::Revoked => newest.checked_sub(rng.random_range(1..=REVOKED_TOKENS)),
+            Self::Mixed | Self::Patient => Some(newest),
+        }
+    }
+
+    /// Returns what the numbers of requests begin with, after that of the caller.
+    const fn prefix(self) -> &'static str {
+        match self {
+            Self::Mixed => "",
+            Self::Patient => "l",
+            Self::Revoked => "r",
+        }
+    }
+
+    const fn interval_ms(self) -> std::ops::Range<u64> {
+        match self {
+            Self::Revoked => REVOKED_INTERVAL_MS,
+            Self::Mixed | Self::Patient => REQUEST_INTERVAL_MS,
+        }
+    }
+}
+
 /// Returns the id of a part that crashes endpoints.
 pub(super) fn crash_part_text(number: u64) -> String {
     format!("bad{number:x}")
@@ -125,7 +213,8 @@
     format!("token-{number}")
 }
 
-/// Starts the threads of all callers, [`CALLERS_PER_ROUTER`] for each router.
+/// Starts the threads of all callers: [`CALLERS_PER_ROUTER`] for each router, one with long streams and
+/// one with revoked tokens.
 pub(super) fn start_callers(
     shared: &Arc<CallerShared>,
     routers: &[SocketAddr],
@@ -135,50 +224,84 @@
     for (router, address) in routers.iter().enumerate() {
         for caller in 0..CALLERS_PER_ROUTER {
             let number = (router * CALLERS_PER_ROUTER + caller) as u64;
-            let (shared, address) = (Arc::clone(shared), *address);
+            let shared = Arc::clone(shared);
+            let caller = SoakCaller::new(*address, number, CallerRole::Mixed);
             threads.push(std::thread::spawn(move || {
                 let rng = StdRng::seed_from_u64(seed ^ (number + 1).wrapping_mul(0x9e37_79b9));
-                run_caller(&shared, address, number, rng);
+                caller.run(&shared, rng);
+            }));
+        }
+        for role in [CallerRole::Patient, CallerRole::Revoked] {
+            let number = (router * CALLERS_PER_ROUTER) as u64;
+            let shared = Arc::clone(shared);
+            let caller = SoakCaller::new(*address, number, role);
+            threads.push(std::thread::spawn(move || {
+                let rng = StdRng::seed_from_u64(seed.rotate_left(32) ^ number ^ role as u64);
+                caller.run(&shared, rng);
             }));
         }
     }
     threads
 }
 
-fn run_caller(shared: &CallerShared, router: SocketAddr, caller: u64, mut rng: StdRng) {
-    let mut count = 0;
-    while !shared.should_stop.load(Ordering::Relaxed) {
-        let Some(mut stream) = connect(router) else {
-            std::thread::sleep(Duration::from_millis(50));
-            continue;
-        };
-        let limit = if caller.is_multiple_of(2) {
-            REQUESTS_PER_CONNECTION
-        } else {
-            u32::MAX
-        };
-        for _ in 0..limit {
-            count += 1;
-            let number = format!("{caller:x}-{count:x}");
-            let record = call_once(shared, &mut stream, number, &mut rng);
-            let is_reusable = record.answer.as_ref().is_some_and(keeps_connection);
-            lock(&shared.records).push(record);
-            if !is_reusable || shared.should_stop.load(Ordering::Relaxed) {
-                break;
+/// A caller of one router.
+#[derive(Debug)]
+struct SoakCaller {
+    router: SocketAddr,
+    number: u64,
+    role: CallerRole,
+}
+
+impl SoakCaller {
+    const fn new(router: SocketAddr, number: u64, role: CallerRole) -> Self {
+        Self {
+            router,
+            number,
+            role,
+        }
+    }
+
+    fn run(&self, shared: &CallerShared, mut rng: StdRng) {
+        let mut count = 0;
+        while !shared.should_stop.load(Ordering::Relaxed) {
+            let Some(mut stream) = connect(self.router) else {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            };
+            let has_pool = self.role == CallerRole::Mixed && self.number.is_multiple_of(2);
+            let limit = if has_pool {
+                REQUESTS_PER_CONNECTION
+            } else {
+                u32::MAX
+            };
+            for _ in 0..limit {
+                count += 1;
+                let number = format!("{:x}-{}{count:x}", self.number, self.role.prefix());
+                let record = call_once(shared, &mut stream, number, self.role, &mut rng);
+                let is_reusable = record
+                    .as_ref()
+                    .is_none_or(|record| record.answer.as_ref().is_some_and(keeps_connection));
+                lock(&shared.records).extend(record);
+                if !is_reusable || shared.should_stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                let interval = rng.random_range(self.role.interval_ms());
+                std::thread::sleep(Duration::from_millis(interval));
             }
-            std::thread::sleep(Duration::from_millis(rng.random_range(REQUEST_INTERVAL_MS)));
         }
     }
 }
 
+/// Sends a request and returns what became of it, or `None` if the caller has no token yet.
 fn call_once(
     shared: &CallerShared,
     stream: &mut TcpStream,
     number: String,
+    role: CallerRole,
     rng: &mut StdRng,
-) -> CallRecord {
-    let (mut kind, path) = CallKind::draw(rng);
-    let token = shared.token.load(Ordering::SeqCst);
+) -> Option<CallRecord> {
+    let (mut kind, path) = role.draw(rng);
+    let token = role.token(shared.token.load(Ordering::SeqCst), rng)?;
     let sent = Instant::now();
     let crash_part = shared.crash_part.load(Ordering::SeqCst);
     // Every other stream of engines, by the last digit of its number.
@@ -201,14 +324,14 @@
     } else {
         call_on(stream, &text)
     };
-    CallRecord {
+    Some(CallRecord {
         number,
         kind,
         token,
         sent,
         ended: Instant::now(),
         answer,
-    }
+    })
 }
 
 fn connect(router: SocketAddr) -> Option<TcpStream> {
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -26,6 +26,9 @@
 /// Interval at which faults and processes are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Violations of one guarantee that a report shows; it counts the others.
+const SHOWN_VIOLATIONS: usize = 20;
+
 /// Options of one soak.
 #[derive(Debug, Clone)]
 pub struct SoakOptions {
@@ -193,8 +196,17 @@
         disturbances: testbed.disturbances.clone(),
         unexpected_exits: testbed.unexpected_exits.clone(),
         desks: testbed.desk_count(),
+        endpoints: testbed
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.id.clone())
+            .collect(),
         limits: testbed.limits.clone(),
         crashes: crashes.collect(),
+        tokens: testbed.tokens.clone(),
+        silences: testbed.silences.clone(),
+        starts: testbed.starts.clone(),
+        stops: testbed.stops.clone(),
     }
 }
 
@@ -221,8 +233,19 @@
                 format!("guarantees broken {} times", self.broken.len())
             }
         )?;
+        let mut counts = SortedMap::new();
         for violation in &self.broken {
-            write!(formatter, "\n  {violation}")?;
+            let count = counts.get_or_insert_with(violation.guarantee, || 0);
+            *count += 1;
+            if *count <= SHOWN_VIOLATIONS {
+                write!(formatter, "\n  {violation}")?;
+            }
+        }
+        for (guarantee, count) in counts
+            .iter()
+            .filter(|(_, count)| **count > SHOWN_VIOLATIONS)
+        {
+            write!(formatter, "\n  {guarantee}: broken {count} times")?;
         }
         Ok(())
     }
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -1,6 +1,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
@@ -11,8 +12,10 @@
     is_ready,
 };
 
-use super::fault_plan::{FaultStep, SoakFault, SoakLink, SoakProcess, SoakSize};
-use super::guarantees::{DisturbedPart, EndpointDeparture, NamedLimit, SoakDisturbance};
+use super::fault_plan::{FaultStep, SilentGroup, SoakFault, SoakLink, SoakProcess, SoakSize};
+use super::guarantees::{
+    DisturbedPart, EndpointDeparture, EndpointSilence, NamedLimit, SoakDisturbance, TokenPeriod,
+};
 use super::soak_callers::{crash_part_text, token_text};
 use crate::fleet::ChildGuard;
 use crate::proxy::{FaultProxy, ProxyFault};
@@ -32,6 +35,10 @@
 /// interval of its heartbeats.
 const RELISTING_MS: u64 = 1_200;
 
+/// Time after a restore in which the departures that it lost are written again, in milliseconds: once
+/// the store is stable.
+const LEAVING_AGAIN_MS: std::ops::Range<u64> = HostSettings::CONTACT_MS + 100..2_000;
+
 /// The processes, stand-ins and proxies of a soak; all of them end when it is dropped.
 #[derive(Debug)]
 pub(super) struct SoakTestbed {
@@ -51,8 +58,28 @@
     refusals: u32,
     /// Start time in the entry of each endpoint.
     born: Vec<u64>,
+    /// Endpoints that are away, with the state in their entry, or without one.
+    away: SortedMap<usize, Option<&'static str>>,
     /// Endpoints that will write their entries again, and when.
     relistings: Vec<(Instant, usize)>,
+    /// Endpoints whose departure was lost and that will write it again, and when.
+    leaving_again: Vec<(Instant, usize)>,
+    /// Time from which the store holds what the soak has written.
+    ready_at: Instant,
+    /// Number of active faults from which the store comes back older, and the changes of the token that
+    /// wait for it.
+    restores: u32,
+    waiting_changes: u32,
+    /// Time of the operator's next write of a configuration that was lost.
+    rewrite_at: Option<Instant>,
+    /// Revoked tokens whose revocation was lost before any router could read it.
+    unread_revocations: Vec<u64>,
+    pub(super) tokens: Vec<TokenPeriod>,
+    pub(super) silences: Vec<EndpointSilence>,
+    /// Starts of routers after the first one.
+    pub(super) starts: Vec<(usize, Instant)>,
+    /// Times at which routers were asked to stop.
+    pub(super) stops: Vec<(usize, Instant)>,
     pub(super) revoked: SortedMap<u64, Instant>,
     pub(super) departures: Vec<EndpointDeparture>,
     pub(super) disturbances: Vec<SoakDisturbance>,
@@ -96,16 +123,16 @@
         self.is_stopping = false;
     }
 
-    /// Restarts the process if it has exited, and returns whether it exited without being asked to.
-    fn restart_exited(&mut self) -> io::Result<bool> {
+    /// Restarts the process if it has exited, and returns whether it was asked to exit.
+    fn restart_exited(&mut self) -> io::Result<Option<bool>> {
         let has_exited = self.child.as_mut().is_some_and(ChildGuard::is_ended);
         if !has_exited {
-            return Ok(false);
+            return Ok(None);
         }
         let was_requested = self.is_stopping;
         self.child = None;
         self.start()?;
-        Ok(!was_requested)
+        Ok(Some(was_requested))
     }
 
     pub(super) fn is_ready(&self) -> bool {
@@ -133,7 +160,18 @@
             version: 1,
             refusals: 0,
             born: vec![1; size.endpoints],
+            away: SortedMap::new(),
             relistings: Vec::new(),
+            leaving_again: Vec::new(),
+            ready_at: Instant::now(),
+            restores: 0,
+            waiting_changes: 0,
+            rewrite_at: None,
+            unread_revocations: Vec::new(),
+            tokens: Vec::new(),
+            silences: Vec::new(),
+            starts: Vec::new(),
+            stops: Vec::new(),
             revoked: SortedMap::new(),
             departures: Vec::new(),
             disturbances: Vec::new(),
@@ -145,6 +183,7 @@
             testbed.add_endpoint(index, program, folder)?;
         }
         testbed.put_config();
+        testbed.ready_at = Instant::now();
         for index in 0..size.routers {
             testbed.add_router(index, program, folder)?;
         }
@@ -180,6 +219,7 @@
                 part,
                 from: Instant::now(),
                 until: None,
+                is_planned: matches!(step.fault, SoakFault::Stop(_)),
             });
         }
         match step.fault {
@@ -187,6 +227,9 @@
             SoakFault::Kill(process) => self.process_mut(process).kill(),
             SoakFault::Stop(process) => {
                 self.with_child(process, ChildGuard::terminate);
+                if let SoakProcess::Router(router) = process {
+                    self.stops.push((router, Instant::now()));
+                }
                 self.process_mut(process).is_stopping = true;
             }
             SoakFault::Reload(router) => {
@@ -203,16 +246,21 @@
             }
             SoakFault::StoreForgets => self.store.compact(),
             SoakFault::ChangeTokens => {
-                let old = self.token;
-                self.token += 1;
-                self.version += 1;
-                self.put_config();
-                self.revoked.insert(old, Instant::now());
+                if self.restores > 0 {
+                    self.waiting_changes += 1;
+                } else {
+                    self.change_tokens();
+                }
             }
             SoakFault::Drain(endpoint) => self.begin_departure(endpoint, Some("draining")),
             SoakFault::Leave(endpoint) => self.begin_departure(endpoint, None),
             SoakFault::CrashPart(style) => self.add_crash_part(style),
             SoakFault::NameLimit(endpoint, tenths) => self.begin_limit(endpoint, tenths),
+            SoakFault::Silence(group) => self.begin_silence(group, step.span),
+            SoakFault::StoreRestores { .. } => {
+                self.add_refusal();
+                self.restores += 1;
+            }
         }
     }
 
@@ -220,7 +268,12 @@
     pub(super) fn end(&mut self, step: &FaultStep) -> io::Result<()> {
         match step.fault {
             SoakFault::Freeze(process) => self.with_child(process, ChildGuard::wake),
-            SoakFault::Kill(process) => self.process_mut(process).start()?,
+            SoakFault::Kill(process) => {
+                if self.process_mut(process).child.is_none() {
+                    self.process_mut(process).start()?;
+                    self.note_start(process);
+                }
+            }
             SoakFault::Impair(link, _) => self.proxy(link).set_fault(ProxyFault::default()),
             SoakFault::StoreRefuses => self.end_refusal(),
             SoakFault::StoreLapse => {
@@ -233,7 +286,9 @@
             | SoakFault::Cut(_)
             | SoakFault::StoreForgets
             | SoakFault::CrashPart(_)
+            | SoakFault::Silence(_)
             | SoakFault::ChangeTokens => {}
+            SoakFault::StoreRestores { age, rewrite_delay } => self.restore(age, rewrite_delay),
             SoakFault::NameLimit(endpoint, tenths) => self.end_limit(endpoint, Some(tenths)),
         }
         // A stopping process is disturbed until it runs again.
@@ -245,6 +300,101 @@
         Ok(())
     }
 
+    /// Comes back from a copy, and lets the writers write again what it lost.
+    fn restore(&mut self, age: Duration, rewrite_delay: Duration) {
+        let age = age.min(self.ready_at.elapsed());
+        let now = Instant::now();
+        let lost_from = now.checked_sub(age).unwrap_or(now);
+        self.store.restore(age);
+        if let Some(period) = self.tokens.last_mut()
+            && period.until.is_none()
+            && period.from > lost_from
+        {
+            period.until = Some(now);
+            self.rewrite_at = Some(now + rewrite_delay);
+        }
+        let contact = Duration::from_millis(HostSettings::CONTACT_MS);
+        let unread = self.revoked.iter().filter(|(_, at)| {
+            let is_store_disturbed = |fault: &SoakDisturbance| {
+                fault.part == DisturbedPart::Store
+                    && fault.from < **at + contact
+                    && fault.until.is_none_or(|until| until > **at)
+            };
+            **at > lost_from && self.disturbances.iter().any(is_store_disturbed)
+        });
+        let unread: Vec<u64> = unread.map(|(token, _)| *token).collect();
+        for token in unread {
+            self.revoked.remove(&token);
+            self.unread_revocations.push(token);
+        }
+        let count = self.endpoints.len() as u64;
+        for departure in &mut self.departures {
+            if departure.back.is_none() && departure.left > lost_from {
+                departure.back = Some(now);
+                let ids = self.endpoints.iter().map(|endpoint| &endpoint.id);
+                let index = ids.take_while(|id| **id != departure.endpoint).count();
+                let Range { start, end } = LEAVING_AGAIN_MS;
+                let delay = start + (end - start) * index as u64 / count;
+                let due = now + Duration::from_millis(delay);
+                self.leaving_again.push((due, index));
+            }
+        }
+        self.end_refusal();
+        self.schedule_relistings();
+        self.restores -= 1;
+        if self.restores == 0 {
+            for _ in 0..std::mem::take(&mut self.waiting_changes) {
+                self.change_tokens();
+            }
+        }
+    }
+
+    /// Publishes a configuration with a new token in place of the present one.
+    fn change_tokens(&mut self) {
+        let old = self.token;
+        self.token += 1;
+        self.version += 1;
+        self.put_config();
+        self.revoked.insert(old, Instant::now());
+    }
+
+    fn begin_silence(&mut self, group: SilentGroup, span: Duration) {
+        let from = Instant::now();
+        let endpoints = self.endpoints.iter().enumerate();
+        for (_, endpoint) in endpoints.filter(|(index, _)| group.contains(*index)) {
+            endpoint.fall_silent(span);
+            // The later silence counts.
+            for silence in &mut self.silences {
+                if silence.endpoint == endpoint.id {
+                    silence.until = silence.until.min(from);
+                }
+            }
+            self.silences.push(EndpointSilence {
+                endpoint: endpoint.id.clone(),
+                from,
+                until: from + span,
+            });
+        }
+    }
+
+    fn note_start(&mut self, process: SoakProcess) {
+        let now = Instant::now();
+        let part = match process {
+            SoakProcess::Router(router) => {
+                self.starts.push((router, now));
+                DisturbedPart::Router(router)
+            }
+            SoakProcess::Desk(desk) => DisturbedPart::Desk(desk),
+        };
+        let planned = self
+            .disturbances
+            .iter_mut()
+            .filter(|fault| fault.part == part && fault.is_planned && fault.until.is_none());
+        for fault in planned {
+            fault.until = Some(now);
+        }
+    }
+
     /// Returns the number of the newest part that crashes endpoints; zero if none does.
     pub(super) const fn crash_part(&self) -> u64 {
         self.crash_parts
@@ -303,22 +453,17 @@
     /// Lists an endpoint with `state`, or removes its entry, until [`Self::end_departure`].
     ///
     /// Does nothing if an endpoint of the same service is away, as the others carry its load.
-    pub(super) fn begin_departure(&mut self, index: usize, state: Option<&str>) {
+    pub(super) fn begin_departure(&mut self, index: usize, state: Option<&'static str>) {
         let has_desk = |index: usize| index < self.size.desks;
-        let mut away = self
-            .departures
-            .iter()
-            .filter(|departure| departure.back.is_none());
-        let is_service_reduced = away.any(|departure| {
-            let away = self
-                .endpoints
-                .iter()
-                .position(|endpoint| endpoint.id == departure.endpoint);
-            away.is_some_and(|away| has_desk(away) == has_desk(index))
-        });
-        if is_service_reduced {
+        let is_same_service = |away: &usize| has_desk(*away) == has_desk(index);
+        if self.away.keys().any(is_same_service) {
             return;
         }
+        self.away.insert(index, state);
+        self.leave(index, state);
+    }
+
+    fn leave(&mut self, index: usize, state: Option<&'static str>) {
         match state {
             Some(state) => self.publish_endpoint(index, state),
             None => self.store.remove_endpoint(&self.endpoints[index].id),
@@ -332,21 +477,20 @@
 
     /// Lists an endpoint that left as a new start of it.
     fn end_departure(&mut self, index: usize) {
+        if self.away.remove(&index).is_none() {
+            return;
+        }
         let id = &self.endpoints[index].id;
         let mut departures = self.departures.iter_mut();
         let departure =
             departures.find(|departure| departure.endpoint == *id && departure.back.is_none());
+        // There is none while its departure is lost.
         if let Some(departure) = departure {
             departure.back = Some(Instant::now());
-            self.born[index] += 1;
-            self.publish_endpoint(index, "ready");
         }
-    }
-
-    fn is_away(&self, index: usize) -> bool {
-        let id = &self.endpoints[index].id;
-        let mut departures = self.departures.iter();
-        departures.any(|departure| departure.endpoint == *id && departure.back.is_none())
+        self.leaving_again.retain(|(_, leaving)| *leaving != index);
+        self.born[index] += 1;
+        self.publish_endpoint(index, "ready");
     }
 
     fn add_refusal(&mut self) {
@@ -374,46 +518,59 @@
     fn end_disturbance(&mut self, part: DisturbedPart) {
         let now = Instant::now();
         let mut disturbances = self.disturbances.iter_mut();
-        let fault = disturbances.find(|fault| fault.part == part && fault.until.is_none());
+        let fault = disturbances
+            .find(|fault| fault.part == part && !fault.is_planned && fault.until.is_none());
         if let Some(fault) = fault {
             fault.until = Some(now);
         }
     }
 
-    /// Restarts exited processes, records those that were not asked to stop, and lets endpoints write
-    /// their entries again.
+    /// Restarts exited processes, records those that were not asked to stop, and lets the operator and
+    /// endpoints write again what the store has lost.
     pub(super) fn poll(&mut self) -> io::Result<()> {
         let now = Instant::now();
+        if self.restores == 0 && self.rewrite_at.is_some_and(|at| at <= now) {
+            self.put_config();
+        }
+        let (due, pending) = std::mem::take(&mut self.leaving_again)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now && self.refusals == 0);
+        self.leaving_again = pending;
+        for (_, index) in due {
+            if let Some(state) = self.away.get(&index).copied() {
+                self.leave(index, state);
+            }
+        }
         let (due, pending) = std::mem::take(&mut self.relistings)
             .into_iter()
             .partition::<Vec<_>, _>(|(at, _)| *at <= now && self.refusals == 0);
         self.relistings = pending;
         for (_, index) in due {
-            if !self.is_away(index) {
+            if !self.away.contains_key(&index) {
                 self.publish_endpoint(index, "ready");
             }
         }
-        let mut restarted = Vec::new();
+        let mut started = Vec::new();
         for (index, process) in self.routers.iter_mut().enumerate() {
-            let was_stopping = process.is_stopping;
-            if process.restart_exited()? {
+            let exit = process.restart_exited()?;
+            if exit == Some(false) {
                 self.unexpected_exits.push(process.name.clone());
             }
-            if was_stopping && !process.is_stopping {
-                restarted.push(DisturbedPart::Router(index));
+            if exit.is_some() {
+                started.push(SoakProcess::Router(index));
             }
         }
         for (index, process) in self.desks.iter_mut().enumerate() {
-            let was_stopping = process.is_stopping;
-            if process.restart_exited()? {
+            let exit = process.restart_exited()?;
+            if exit == Some(false) {
                 self.unexpected_exits.push(process.name.clone());
             }
-            if was_stopping && !process.is_stopping {
-                restarted.push(DisturbedPart::Desk(index));
+            if exit.is_some() {
+                started.push(SoakProcess::Desk(index));
             }
         }
-        for part in restarted {
-            self.end_disturbance(part);
+        for process in started {
+            self.note_start(process);
         }
         Ok(())
     }
@@ -432,9 +589,22 @@
         self.store.put_endpoint(&endpoint.id, &entry);
     }
 
-    fn put_config(&self) {
+    fn put_config(&mut self) {
         let text = config(self.version, &[&token_text(self.token)]);
         self.store.put_config(&text);
+        let now = Instant::now();
+        self.rewrite_at = None;
+        if let Some(period) = self.tokens.last_mut() {
+            period.until.get_or_insert(now);
+        }
+        self.tokens.push(TokenPeriod {
+            token: self.token,
+            from: now,
+            until: None,
+        });
+        for token in std::mem::take(&mut self.unread_revocations) {
+            self.revoked.insert(token, now);
+        }
     }
 
     fn process_mut(&mut self, process: SoakProcess) -> &mut ManagedProcess {
@@ -520,7 +690,9 @@
         }
         SoakFault::Impair(SoakLink::Endpoint(index), _)
         | SoakFault::Cut(SoakLink::Endpoint(index)) => Some(DisturbedPart::Endpoint(index)),
-        SoakFault::StoreRefuses | SoakFault::StoreLapse => Some(DisturbedPart::Store),
+        SoakFault::StoreRefuses | SoakFault::StoreLapse | SoakFault::StoreRestores { .. } => {
+            Some(DisturbedPart::Store)
+        }
         SoakFault::Freeze(SoakProcess::Desk(index))
         | SoakFault::Kill(SoakProcess::Desk(index))
         | SoakFault::Stop(SoakProcess::Desk(index))
@@ -528,6 +700,7 @@
         | SoakFault::Cut(SoakLink::Desk(index)) => Some(DisturbedPart::Desk(index)),
         SoakFault::CrashPart(_)
         | SoakFault::NameLimit(..)
+        | SoakFault::Silence(_)
         | SoakFault::Reload(_)
         | SoakFault::StoreForgets
         | SoakFault::ChangeTokens
