fix(soak): callers use a token that waited for the store to come back

A change of the token that falls into the time in which the store is away is made when it comes back, as a fault ends; callers were told the newest token only as faults begin. A report shows eight violations of each guarantee and counts the others.

--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -27,7 +27,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Violations of one guarantee that a report shows; it counts the others.
-const SHOWN_VIOLATIONS: usize = 20;
+const SHOWN_VIOLATIONS: usize = 8;
 
 /// Options of one soak.
 #[derive(Debug, Clone)]
@@ -115,7 +115,6 @@
         while pending.last().is_some_and(|step| step.at <= now) {
             if let Some(step) = pending.pop() {
                 testbed.begin(&step);
-                shared.token.store(testbed.token(), Ordering::SeqCst);
                 let crash_part = testbed.crash_part();
                 shared.crash_part.store(crash_part, Ordering::SeqCst);
                 active.push(step);
@@ -128,6 +127,8 @@
         for step in expired {
             testbed.end(&step)?;
         }
+        // A change of the token may have waited for the store.
+        shared.token.store(testbed.token(), Ordering::SeqCst);
         testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
