--- a/crates/cicadalock-node/src/gateway/gateway_metrics.rs
+++ b/crates/cicadalock-node/src/gateway/gateway_metrics.rs
@@ -12,10 +12,14 @@
     registry: Registry,
     /// Answers to callers, by status and by reason or form.
     pub(super) answers: Family<AnswerLabels, Counter>,
+    /// Requests whose connection ended before they had a response.
+    pub(super) unanswered: Counter,
     /// Attempts at endpoints, by how the attempt ended.
     pub(super) attempts: Family<EndLabels, Counter>,
     /// Retries of requests.
     pub(super) repeats: Counter,
+    /// Silences of attempts beside which another endpoint was to be tried, by their outcome.
+    pub(super) silences: Family<EndLabels, Counter>,
     /// Connections opened to endpoints.
     pub(super) connects: Counter,
     /// Reads of the store, by result.
@@ -71,8 +75,10 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("cicadalock"),
             answers: Family::default(),
+            unanswered: Counter::default(),
             attempts: Family::default(),
             repeats: Counter::default(),
+            silences: Family::default(),
             connects: Counter::default(),
             reads: Family::default(),
             endpoint_changes: Family::default(),
@@ -86,6 +92,11 @@
         };
         let registry = &mut metrics.registry;
         registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register(
+            "unanswered",
+            "Requests whose connection ended before they had a response",
+            metrics.unanswered.clone(),
+        );
         registry.register(
             "attempts",
             "Attempts at endpoints",
@@ -96,6 +107,11 @@
             "Requests sent once more",
             metrics.repeats.clone(),
         );
+        registry.register(
+            "silences",
+            "Silent attempts, by what followed",
+            metrics.silences.clone(),
+        );
         registry.register(
             "connects",
             "Connections opened to endpoints",
