fix(soak): a failure of the router is no part of an endpoint's answer

The time of the last part took the router's own 502 or 504 for a part of the answer, so that the patience of a caller was never reached before it and the silence was measured from its end: 504 after 1.80 s at /wait/, whose callers bear 2 s, were reported although the endpoint was silent until after that.

--- a/crates/trial/src/soak/lasting_guarantees.rs
+++ b/crates/trial/src/soak/lasting_guarantees.rs
@@ -195,9 +195,9 @@
         has_waited || self.ended - self.sent >= self.kind.time_limit()
     }
 
-    /// Time at which the last part of the answer arrived, or else at which the request was sent.
+    /// Time at which the last part of an endpoint's answer arrived, or else at which the request was sent.
     fn last_part_at(&self) -> Instant {
-        let answer = self.answer.as_ref();
+        let answer = self.answer.as_ref().filter(|answer| answer.status == 200);
         answer.map_or(self.sent, |answer| answer.last_part_at.min(self.ended))
     }
 }
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -233,7 +233,12 @@
     let (_, run) = run("a-1", None);
     record.ended = record.sent + Duration::from_millis(ended_ms);
     if let Some(answer) = &mut record.answer {
-        answer.last_part_at = record.sent;
+        // A failure arrives as a whole when it ends.
+        answer.last_part_at = if status == 200 {
+            record.sent
+        } else {
+            record.ended
+        };
     }
     SoakEvidence {
         calls: vec![record],
@@ -247,6 +252,7 @@
     a_refusal_that_ran = { 503, "", true, 1_500, &[NOT_RUN] },
     a_broken_stream = { 200, "id: 1\n\n", false, 1_500, &[WHOLE] },
     a_failure_of_the_router = { 502, "", true, 1_500, &[WHOLE] },
+    a_failure_after_the_patience_of_the_caller = { 504, "", true, 4_100, &[] },
     after_the_patience_of_the_caller = { 200, "id: 1\n\n", false, 4_100, &[] },
 )]
 fn finds_callers_without_a_whole_answer(
