--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -26,6 +26,9 @@
 /// Interval at which faults and processes are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Violations of one guarantee that a report shows; it counts the others.
+const SHOWN_VIOLATIONS: usize = 8;
+
 /// Options of one soak.
 #[derive(Debug, Clone)]
 pub struct SoakOptions {
@@ -112,7 +115,6 @@
         while pending.last().is_some_and(|step| step.at <= now) {
             if let Some(step) = pending.pop() {
                 testbed.begin(&step);
-                shared.token.store(testbed.token(), Ordering::SeqCst);
                 let crash_part = testbed.crash_part();
                 shared.crash_part.store(crash_part, Ordering::SeqCst);
                 active.push(step);
@@ -125,6 +127,8 @@
         for step in expired {
             testbed.end(&step)?;
         }
+        // A change of the token may have waited for the store.
+        shared.token.store(testbed.token(), Ordering::SeqCst);
         testbed.poll()?;
         std::thread::sleep(POLL_INTERVAL);
     }
@@ -193,8 +197,17 @@
         disturbances: testbed.disturbances.clone(),
         unexpected_exits: testbed.unexpected_exits.clone(),
         desks: testbed.desk_count(),
+        endpoints: testbed
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.id.clone())
+            .collect(),
         limits: testbed.limits.clone(),
         crashes: crashes.collect(),
+        tokens: testbed.tokens.clone(),
+        silences: testbed.silences.clone(),
+        starts: testbed.starts.clone(),
+        stops: testbed.stops.clone(),
     }
 }
 
@@ -221,8 +234,19 @@
                 format!("guarantees broken {} times", self.broken.len())
             }
         )?;
+        let mut counts = SortedMap::new();
         for violation in &self.broken {
-            write!(formatter, "\n  {violation}")?;
+            let count = counts.get_or_insert_with(violation.guarantee, || 0);
+            *count += 1;
+            if *count <= SHOWN_VIOLATIONS {
+                write!(formatter, "\n  {violation}")?;
+            }
+        }
+        for (guarantee, count) in counts
+            .iter()
+            .filter(|(_, count)| **count > SHOWN_VIOLATIONS)
+        {
+            write!(formatter, "\n  {guarantee}: broken {count} times")?;
         }
         Ok(())
     }
