test(gateway): second attempts in the property test of the router's machine

The histories now begin second attempts beside running ones, as the router does, and check over all attempts of a request: endpoints that may have run it are at most the route's, none gets it twice, retries stay within their ratio, and no attempt is counted at an endpoint once all have ended.

--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -730,6 +730,8 @@
     },
     First(usize),
     End(usize, u8),
+    /// Begins a second attempt beside a running one.
+    Standby(usize),
     Leave(usize),
     /// Whether each endpoint is listed, draining or missing for some milliseconds.
     List([ListedAs; 4]),
@@ -745,6 +747,7 @@
             .prop_map(|(may_retry, subject, own)| Step::Submit { may_retry, subject, own }),
         2 => (0_usize..16).prop_map(Step::First),
         4 => (0_usize..16, 0_u8..8).prop_map(|(index, end)| Step::End(index, end)),
+        3 => (0_usize..16).prop_map(Step::Standby),
         2 => (0_usize..16).prop_map(Step::Leave),
         1 => [listed_as(), listed_as(), listed_as(), listed_as()].prop_map(Step::List),
         1 => (0_usize..4).prop_map(Step::DeskUp),
@@ -763,15 +766,68 @@
     may_retry: bool,
     is_over: bool,
     is_running: bool,
+    /// The request that the caller sent: itself, or the one beside which it is a second attempt.
+    caller_request: Option<RequestId>,
+}
+
+/// Returns whether all other attempts of `request` than `id` are over.
+fn is_alone(
+    histories: &SortedMap<RequestId, RequestHistory>,
+    id: RequestId,
+    request: RequestId,
+) -> bool {
+    histories.iter().all(|(other, history)| {
+        let is_same = *other == request || history.caller_request == Some(request);
+        !is_same || *other == id || history.is_over
+    })
+}
+
+/// Times of requests and of retries that the budget allowed.
+#[derive(Debug, Default)]
+struct BudgetRecord {
+    requests: Vec<ClockTime>,
+    retries: Vec<ClockTime>,
+}
+
+impl BudgetRecord {
+    fn record_retry(&mut self, now: ClockTime) -> Result<(), TestCaseError> {
+        self.retries.push(now);
+        let is_recent = |moment: &&ClockTime| now.since(**moment) <= BOUNDS.retry_window;
+        let requests = self.requests.iter().filter(is_recent).count();
+        let retries = self.retries.iter().filter(is_recent).count();
+        prop_assert!(
+            retries as f64 <= requests as f64 * BOUNDS.retry_ratio,
+            "{retries} retries of {requests} requests",
+        );
+        Ok(())
+    }
+}
+
+/// Asserts that endpoints with all places taken by others get no request: none is counted as own.
+fn assert_no_own_requests(machine: &mut GatewayMachine, now: ClockTime) {
+    for number in 0..4 {
+        machine.desk_down(&endpoint(number), now);
+    }
+    machine.set_endpoints(&list(4, 3), &config(Some(200_000)), now);
+    for number in 0..4 {
+        machine.update_load(&endpoint(number), 3, 0);
+    }
+    for number in 0..20 {
+        machine.submit(RequestId::new(1_000_000 + number), call(now, true), now);
+    }
+    let started = started(machine.take_actions(now));
+    assert!(started.is_empty(), "own requests are left: {started:?}");
 }
 
 proptest! {
     #![proptest_config(seeded(2_000))]
 
-    /// Checks for any sequence of endpoint lists, desk changes, failures and leaving callers: a
-    /// request is never sent after its end, twice at a time, or twice to one endpoint. It is sent
-    /// again after it may have run only if that is allowed. A refused request is neither running
-    /// nor over. No request starts at an endpoint that is leaving or gone.
+    /// Checks for any sequence of endpoint lists, desk changes, failures, second attempts and leaving
+    /// callers: an attempt is never sent after its end, twice at a time, or to an endpoint of another
+    /// attempt of its request. A request is sent again after it may have run, or while it runs, only
+    /// if that is allowed, and runs at no more endpoints than allowed. Retries stay within their ratio.
+    /// A refused attempt is neither running nor over. No attempt starts at an endpoint that is leaving
+    /// or gone. Once all have ended, none is counted at an endpoint.
     #[test]
     fn a_gateway_keeps_its_guarantees_over_any_history(steps in steps()) {
         const ENDS: [AttemptEnd; 8] = [
@@ -785,6 +841,7 @@
         let mut histories: SortedMap<RequestId, RequestHistory> = SortedMap::new();
         let mut asked: Vec<(EndpointId, u64)> = Vec::new();
         let (mut number, mut checks) = (0, 0);
+        let mut budget = BudgetRecord::default();
         for step in steps {
             let running = |index: usize, histories: &SortedMap<RequestId, RequestHistory>| {
                 histories
@@ -803,8 +860,33 @@
                         id,
                         RequestHistory { may_retry, ..RequestHistory::default() },
                     );
+                    budget.requests.push(now);
                     machine.submit(id, call, now);
                 }
+                Step::Standby(index) => {
+                    // As the router does: no more than two attempts of a request at a time.
+                    let silent = running(index, &histories).and_then(|id| {
+                        let entry = histories.get(&id)?;
+                        let request = entry.caller_request.unwrap_or(id);
+                        let may_retry = entry.may_retry;
+                        is_alone(&histories, id, request).then_some((id, request, may_retry))
+                    });
+                    if let Some((silent, request, may_retry)) = silent {
+                        number += 1;
+                        let id = RequestId::new(number);
+                        let result = machine.begin_standby(silent, id, now);
+                        prop_assert!(may_retry || result == Err(RetryDenial::MayHaveRun));
+                        if result.is_ok() {
+                            budget.record_retry(now)?;
+                            let entry = RequestHistory {
+                                may_retry,
+                                caller_request: Some(request),
+                                ..RequestHistory::default()
+                            };
+                            histories.insert(id, entry);
+                        }
+                    }
+                }
                 Step::First(index) => {
                     if let Some(id) = running(index, &histories) {
                         machine.first_event(id, now);
@@ -821,8 +903,15 @@
                         let call = machine.end(id, end, now).expect("the request is running");
                         let is_complete = end == AttemptEnd::Complete
                             || end == AttemptEnd::CompleteUnframed;
+                        // A failed attempt is not repeated while another one of its request is open.
+                        let request = entry.caller_request.unwrap_or(id);
                         let is_retried = !is_complete
+                            && is_alone(&histories, id, request)
                             && machine.retry(id, call, end, now).is_ok();
+                        if is_retried && end.is_sent() {
+                            budget.record_retry(now)?;
+                        }
+                        let entry = histories.get_mut(&id).expect("the request was submitted");
                         entry.is_over = !is_retried;
                     }
                 }
@@ -884,7 +973,20 @@
                         let may_have_run = entry.sent.iter().any(|(_, ran)| *ran);
                         prop_assert!(entry.may_retry || !may_have_run);
                         entry.is_running = true;
-                        entry.sent.push((endpoint, true));
+                        entry.sent.push((endpoint.clone(), true));
+                        let caller_request = entry.caller_request.unwrap_or(request);
+                        let mut sent: Vec<&(EndpointId, bool)> = histories
+                            .iter()
+                            .filter(|(id, history)| {
+                                **id == caller_request
+                                    || history.caller_request == Some(caller_request)
+                            })
+                            .flat_map(|(_, history)| &history.sent)
+                            .collect();
+                        let here = sent.iter().filter(|(sent, _)| *sent == endpoint).count();
+                        prop_assert_eq!(here, 1, "attempts of one request at one endpoint");
+                        sent.retain(|(_, ran)| *ran);
+                        prop_assert!(sent.len() <= 2, "the request runs at {:?}", sent);
                     }
                     GatewayAction::Refuse { request, .. } => {
                         let entry = histories.get_mut(&request).expect("the request was submitted");
@@ -905,6 +1007,17 @@
                 }
             }
         }
+        for (id, history) in histories.iter() {
+            if !history.is_over {
+                machine.withdraw(*id, now);
+            }
+        }
+        machine.take_actions(now);
+        for number in 0..4 {
+            let hello = machine.desk_hello(&endpoint(number), "edge-1", now);
+            prop_assert!(hello.is_none_or(|hello| hello.runs.is_empty()));
+        }
+        assert_no_own_requests(&mut machine, now);
     }
 }
 
