test(gateway): second attempts that did not reach their endpoint (red)

A second attempt that sent nothing uses up the attempts of its request: of three endpoints and two allowed, the third one is not tried beside the silent one after the second one was not reached, but for an attempt in place of another it would be.

--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1082,3 +1082,20 @@
     assert_eq!(begin(&mut machine, 2), Err(RetryDenial::Budget));
     assert_eq!(begin(&mut machine, 1), Err(RetryDenial::MayHaveRun));
 }
+
+#[test]
+fn a_standby_that_did_not_reach_its_endpoint_uses_no_attempt() {
+    let mut machine = machine(3, 8, None);
+    for number in 100..120 {
+        machine.submit(RequestId::new(number), call(at(0), true), at(0));
+    }
+    start_first(&mut machine, call(at(0), true));
+    let begin = |machine: &mut GatewayMachine, id| {
+        machine.begin_standby(RequestId::new(1), RequestId::new(id), at(900))
+    };
+    assert_eq!(begin(&mut machine, 2), Ok(()));
+    assert_eq!(started(machine.take_actions(at(900))).len(), 1);
+    machine.end(RequestId::new(2), AttemptEnd::NotReached, at(900));
+    assert_eq!(begin(&mut machine, 3), Ok(()));
+    assert_eq!(started(machine.take_actions(at(900))).len(), 1);
+}
