fix(core): an attempt that was not sent uses up none of the attempts of a route

Beside a silent endpoint, a standby that did not reach its endpoint, or whose endpoint had left, counted like one that was sent: a third, sound endpoint was never tried, and the caller waited for the silent one. Cause: attempts were counted by the endpoints tried, which include those that were not reached.

The call counts the attempts that were sent, or may yet be; one that ends unsent gives its place back, also to the silent attempt beside which it was made.

--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -31,6 +31,8 @@
     pub passed_over: Vec<EndpointId>,
     /// Endpoints of other attempts, including those that were not reached.
     pub tried: Vec<EndpointId>,
+    /// Number of other attempts that were sent to their endpoint, or may yet be.
+    pub sent: u32,
     /// The silent attempt beside which this one is made; none for all other attempts.
     pub standby_for: Option<RequestId>,
 }
@@ -89,6 +91,7 @@
                 is_trial: false,
                 passed_over: Vec::new(),
                 tried: Vec::new(),
+                sent: 0,
                 standby_for: None,
             },
         }
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -312,7 +312,7 @@
     ///
     /// The request is removed; [`Self::retry`] adds it again.
     pub fn end(&mut self, id: RequestId, end: AttemptEnd, now: ClockTime) -> Option<GatewayCall> {
-        let mut request = self.requests.remove(&id)?;
+        let request = self.requests.remove(&id)?;
         let endpoint = request.plan.endpoint.clone();
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
             state.desk.end(own_key(id), now);
@@ -331,9 +331,16 @@
             self.send_to_desk(&endpoint, DeskMessage::End(desk_notice(id)));
         }
         self.record_evidence(&request, end, now);
-        request.call.tried.push(endpoint);
-        request.call.standby_for = None;
-        Some(request.call)
+        let mut call = request.call;
+        call.tried.push(endpoint);
+        call.sent += u32::from(end.is_sent());
+        if let Some(silent) = call.standby_for.take()
+            && !end.is_sent()
+            && let Some(silent) = self.requests.get_mut(&silent)
+        {
+            silent.call.sent = silent.call.sent.saturating_sub(1);
+        }
+        Some(call)
     }
 
     /// Retries a request whose attempt ended with `end`.
@@ -356,7 +363,7 @@
         }
         // An attempt that sent nothing is not checked against the limits.
         if end.is_sent() {
-            if call.tried.len() >= call.max_attempts as usize {
+            if call.sent >= call.max_attempts {
                 return Err(RetryDenial::Attempts);
             }
             if !self.traffic_entry(&call.service).budget.try_retry(now) {
@@ -384,6 +391,7 @@
         let request = self.requests.get(&running).ok_or(RetryDenial::Ended)?;
         let mut call = request.call.clone();
         call.tried.push(request.plan.endpoint.clone());
+        call.sent += 1;
         call.standby_for = Some(running);
         self.retry(standby, call, AttemptEnd::Broken, now)
     }
@@ -518,6 +526,7 @@
         });
         if let Some(silent) = standby_for.and_then(|silent| self.requests.get_mut(&silent)) {
             silent.call.tried.push(endpoint);
+            silent.call.sent += 1;
         }
     }
 
