fix(gateway): an event of a second endpoint keeps to the size limit

Beside a silent endpoint, an event without end of the second one was kept whole, twice: 12 streams with an event of 64 MB took 779 MB. Cause: the limit was asked of the followed endpoint alone. The standby's own splitter now holds what has arrived, once, and the standby is dropped beyond the limit.

--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -2,7 +2,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RetryDenial};
 use cicadalock_core::id::EndpointId;
 use cicadalock_core::serving::RouteConfig;
@@ -66,7 +65,6 @@
 struct StandbyPart {
     part: StreamPart,
     splitter: EventSplitter,
-    received: BytesMut,
 }
 
 /// What a relay waits for.
@@ -249,8 +247,8 @@
             failure.log(&self.shared, &self.request, &progress, "standby");
             if let Some(standby) = self.standby.take() {
                 self.follow(standby.part);
-                // The received bytes hold no complete event, which would have ended the wait.
-                let _ = self.splitter.feed(&standby.received);
+                // A complete event would have ended the wait for one.
+                let _ = self.splitter.feed(standby.splitter.partial());
             }
             return ControlFlow::Continue(());
         }
@@ -298,7 +296,6 @@
                 self.standby = Some(StandbyPart {
                     part,
                     splitter: EventSplitter::default(),
-                    received: BytesMut::new(),
                 });
             }
             ResumeEnd::Refused(reason) if self.current.is_none() => {
@@ -332,15 +329,21 @@
         };
         match frame {
             PartFrame::Data(bytes) => {
-                standby.received.extend_from_slice(&bytes);
-                if standby.splitter.feed(&bytes).is_none() {
+                let Some(events) = standby.splitter.feed(&bytes) else {
+                    if standby.splitter.is_oversized() {
+                        let detail = "event exceeds the size limit".to_owned();
+                        return self.drop_standby(standby.part, detail);
+                    }
                     self.standby = Some(standby);
                     return ControlFlow::Continue(());
-                }
+                };
                 self.hand_over(standby.part);
-                self.forward::<D>(&standby.received, caller).await
+                let flow = self.forward::<D>(&events, caller).await;
+                // What follows the last complete event completes none.
+                let _ = self.splitter.feed(standby.splitter.partial());
+                flow
             }
-            PartFrame::End if standby.received.is_empty() => {
+            PartFrame::End if standby.splitter.partial().is_empty() => {
                 self.hand_over(standby.part);
                 self.end_current::<D>(caller).await
             }
