fix(gateway): an event that trickles in without end does not put off the limits of a stream

Pieces that come faster than a millisecond kept the end of a silent stream from its time: 2.01 to 2.16 s where its caller leaves after 2 s. Cause: the wait for the next piece takes what has arrived first, and its timer, at least a millisecond long, was set anew for each piece.

Once a limit has passed, waiting bytes are read for 50 ms more, then it holds.

--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -34,7 +34,7 @@
 const LATE_TIMER: Duration = Duration::from_millis(50);
 
 /// Time to read what arrived while the process was suspended.
-const CATCH_UP_TIME: Duration = Duration::from_millis(50);
+pub(super) const CATCH_UP_TIME: Duration = Duration::from_millis(50);
 
 /// Decision of the machine on a waiting request.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -16,7 +16,7 @@
 use super::gateway_body::{GatewayBody, StreamChunk};
 use super::gateway_metrics::EndLabels;
 use super::request_guard::RequestGuard;
-use super::shared::GatewayShared;
+use super::shared::{CATCH_UP_TIME, GatewayShared};
 use super::stream_part::{PartFrame, ResumeEnd, StreamPart};
 
 /// Number of chunks that are buffered for a slow caller.
@@ -50,6 +50,8 @@
     last_event_at: ClockTime,
     /// When another endpoint is tried beside a silent one; `None` while that is done or not allowed.
     standby_due: Option<ClockTime>,
+    /// When a limit was first found to have passed while bytes were waiting.
+    overdue_since: Option<ClockTime>,
     /// The part whose events are forwarded; `None` once it has failed.
     current: Option<StreamPart>,
     /// A later part that has begun while the current one is silent.
@@ -106,6 +108,7 @@
             splitter: EventSplitter::default(),
             last_event_at: now,
             standby_due: limits.standby.map(|delay| now + delay),
+            overdue_since: None,
             endpoint: part.progress.endpoint.clone(),
             current: Some(part),
             standby: None,
@@ -161,7 +164,14 @@
     }
 
     async fn next_event(&mut self, caller: &mpsc::Sender<StreamChunk>) -> RelayEvent {
-        let wait = self.next_due().since(self.shared.now());
+        let now = self.shared.now();
+        let wait = self.next_due().since(now);
+        // Bytes without end that complete no event must not put a limit off.
+        if !wait.is_zero() {
+            self.overdue_since = None;
+        } else if now.since(*self.overdue_since.get_or_insert(now)) >= CATCH_UP_TIME {
+            return RelayEvent::TimerDue;
+        }
         let standby = self.standby.as_mut().map(|standby| &mut standby.part);
         tokio::select! {
             // What has arrived goes before the limits.
