fix(gateway): a stream whose endpoint breaks while another is asked is retried if that one refuses

The request of the part that broke was dropped as soon as another endpoint had been asked; if that one refused, the stream ended although it could be retried. The part is now kept until the other one has answered.

--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -410,7 +410,9 @@
                 }
                 Err(failed) => {
                     first_failed = Some(failed);
-                    second.await
+                    let time_left = self.request.deadline.since(self.shared.now());
+                    let second = tokio::time::timeout(time_left, second);
+                    second.await.unwrap_or(Err(None))
                 }
             },
             standby = &mut second => standby,
--- a/crates/cicadalock-node/src/gateway/stream_part.rs
+++ b/crates/cicadalock-node/src/gateway/stream_part.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Returns whether the end of the body is told from the end of its connection.
+    pub(super) fn is_framed(&self) -> bool {
+        complete_end(&self.headers) == AttemptEnd::Complete
+    }
+
     pub(super) const fn guard(&self) -> &RequestGuard {
         &self.guard
     }
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -58,10 +58,21 @@
     standby: Option<StandbyPart>,
     /// The attempt to resume the stream, until its response head arrives.
     resuming: JoinSet<ResumeEnd>,
+    /// The part that has failed while another endpoint was asked, in case none takes the stream.
+    broken: Option<BrokenPart>,
     /// Endpoint of the last attempt, for the log.
     endpoint: EndpointId,
 }
 
+/// A part that has failed, and what is needed to resume the stream elsewhere.
+#[derive(Debug)]
+struct BrokenPart {
+    guard: RequestGuard,
+    call: GatewayCall,
+    progress: AttemptProgress,
+    failure: AttemptFailure,
+}
+
 /// A part that goes on with the stream unless the silent one does so first.
 #[derive(Debug)]
 struct StandbyPart {
@@ -113,6 +124,7 @@
             current: Some(part),
             standby: None,
             resuming: JoinSet::new(),
+            broken: None,
         }
     }
 
@@ -253,41 +265,50 @@
         let failure = AttemptFailure::new(AttemptEnd::Broken, detail);
         let progress = part.progress.clone();
         let (guard, call) = part.close(failure.end);
-        if self.standby.is_some() || !self.resuming.is_empty() {
-            failure.log(&self.shared, &self.request, &progress, "standby");
-            if let Some(standby) = self.standby.take() {
-                self.follow(standby.part);
-                // A complete event would have ended the wait for one.
-                let _ = self.splitter.feed(standby.splitter.partial());
-            }
-            return ControlFlow::Continue(());
-        }
         let Some(call) = call else {
             return ControlFlow::Break(());
         };
-        self.retry::<D>(guard, call, &progress, &failure)
+        let broken = BrokenPart {
+            guard,
+            call,
+            progress,
+            failure,
+        };
+        if let Some(standby) = self.standby.take() {
+            self.log_failure(&broken, "standby");
+            self.follow(standby.part);
+            // A complete event would have ended the wait for one.
+            let _ = self.splitter.feed(standby.splitter.partial());
+            return ControlFlow::Continue(());
+        }
+        if self.resuming.is_empty() {
+            return self.retry::<D>(broken);
+        }
+        self.broken = Some(broken);
+        ControlFlow::Continue(())
     }
 
     /// Queues a further attempt in place of one that has failed, or ends the stream.
-    fn retry<D: GatewayDialect>(
-        &mut self,
-        mut guard: RequestGuard,
-        call: GatewayCall,
-        progress: &AttemptProgress,
-        failure: &AttemptFailure,
-    ) -> ControlFlow<()> {
-        let denial = guard.retry(call, failure.end).err();
+    fn retry<D: GatewayDialect>(&mut self, mut broken: BrokenPart) -> ControlFlow<()> {
+        let call = broken.call.clone();
+        let denial = broken.guard.retry(call, broken.failure.end).err();
         let next = denial.map_or("repeated", RetryDenial::name);
-        failure.log(&self.shared, &self.request, progress, next);
+        self.log_failure(&broken, next);
         if denial.is_some() {
             self.log_end(next);
             return ControlFlow::Break(());
         }
         self.standby_due = None;
-        self.spawn_resume::<D>(guard);
+        self.spawn_resume::<D>(broken.guard);
         ControlFlow::Continue(())
     }
 
+    fn log_failure(&self, broken: &BrokenPart, next: &str) {
+        broken
+            .failure
+            .log(&self.shared, &self.request, &broken.progress, next);
+    }
+
     fn spawn_resume<D: GatewayDialect>(&mut self, guard: RequestGuard) {
         let after = self.splitter.last_id().or(self.resume_after.as_deref());
         self.resuming.spawn_local(StreamPart::resume::<D>(
@@ -309,6 +330,10 @@
                 });
             }
             ResumeEnd::Refused(reason) if self.current.is_none() => {
+                self.record_silence(reason);
+                if let Some(broken) = self.broken.take() {
+                    return self.retry::<D>(broken);
+                }
                 self.log_end(reason);
                 return ControlFlow::Break(());
             }
@@ -318,10 +343,19 @@
                 let Some(call) = guard.finish_attempt(failure.end) else {
                     return ControlFlow::Break(());
                 };
+                let failed = BrokenPart {
+                    guard,
+                    call,
+                    progress,
+                    failure,
+                };
                 if self.current.is_none() {
-                    return self.retry::<D>(guard, call, &progress, &failure);
+                    if let Some(broken) = self.broken.take() {
+                        self.log_failure(&broken, "standby");
+                    }
+                    return self.retry::<D>(failed);
                 }
-                failure.log(&self.shared, &self.request, &progress, "silent-attempt");
+                self.log_failure(&failed, "silent-attempt");
                 self.standby_due = Some(self.shared.now());
             }
         }
@@ -353,12 +387,13 @@
                 let _ = self.splitter.feed(standby.splitter.partial());
                 flow
             }
-            PartFrame::End if standby.splitter.partial().is_empty() => {
+            // Without a frame around it, a crash looks like an end without events.
+            PartFrame::End if standby.splitter.partial().is_empty() && standby.part.is_framed() => {
                 self.hand_over(standby.part);
                 self.end_current::<D>(caller).await
             }
             PartFrame::End => {
-                let detail = "the stream ended inside an event".to_owned();
+                let detail = "the stream ended without a complete event".to_owned();
                 self.drop_standby(standby.part, detail)
             }
             PartFrame::Broken(detail) => self.drop_standby(standby.part, detail),
