--- a/crates/cicadalock-core/tests/desk.rs
+++ b/crates/cicadalock-core/tests/desk.rs
@@ -537,3 +537,40 @@
         "nobody has it in force any more"
     );
 }
+
+/// Guards against a router that starts and takes its own configuration for what others have.
+#[test]
+fn a_desk_that_has_started_does_not_tell_a_router_its_own_configuration() {
+    let mut desk = DeskMachine::new();
+    let link = LinkId::new(1);
+    let now = ClockTime::from_millis(10_000);
+    let DeskMessage::Hello(greeting) = hello(Vec::new()) else {
+        panic!("a hello");
+    };
+    let greeting = DeskHello {
+        config_version: Some(3),
+        ..greeting
+    };
+    desk.receive(link, DeskMessage::Hello(greeting), now);
+    assert_eq!(newest_config(&desk.take_actions(now), link), None);
+}
+
+#[test]
+fn a_configuration_that_no_router_has_is_forgotten_even_if_others_come_and_go() {
+    let mut desk = DeskMachine::new();
+    let (first, second) = (LinkId::new(1), LinkId::new(2));
+    let config = |version| DeskMessage::Config(ConfigNotice { version });
+    desk.receive(first, hello(Vec::new()), ClockTime::from_millis(10_000));
+    desk.receive(first, config(7), ClockTime::from_millis(10_000));
+    desk.link_down(first, ClockTime::from_millis(10_000));
+    for start in [50_000, 90_000] {
+        desk.receive(second, hello(Vec::new()), ClockTime::from_millis(start));
+        desk.receive(second, config(6), ClockTime::from_millis(start));
+        desk.link_down(second, ClockTime::from_millis(start));
+    }
+    desk.receive(second, hello(Vec::new()), ClockTime::from_millis(130_000));
+    assert_eq!(
+        newest_config(&desk.take_actions(ClockTime::from_millis(130_000)), second),
+        Some(6)
+    );
+}
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1018,3 +1018,13 @@
     }
     assert!(machine.is_config_current(at(wait_ms)));
 }
+
+/// Guards against a desk on the host that restarted, which knows of this router alone.
+#[test]
+fn a_desk_that_repeats_the_routers_own_configuration_does_not_end_the_wait_for_others() {
+    let mut machine = machine(2, 8, Some(100_000));
+    machine.set_config_version(3, true, at(0));
+    machine.receive_desk_message(&endpoint(0), desk_state_with_config(3), at(20));
+    machine.receive_desk_message(&endpoint(1), desk_state_with_config(5), at(40));
+    assert!(!machine.is_config_current(at(100)));
+}
--- a/crates/cicadalock-node/tests/restored_store.rs
+++ b/crates/cicadalock-node/tests/restored_store.rs
@@ -742,3 +742,101 @@
     ];
     assert_eq!(confirmed, expected);
 }
+
+/// Guards against a return that is passed over because the one before it was just read.
+#[test]
+fn a_second_return_within_a_second_is_not_forgotten_without_an_era() {
+    let mut follow = Follow::new(vec![
+        Answer::page(0, 10, vec![config(2)]).without_era(),
+        Answer::changes(0, 8, Vec::new()).without_era(),
+        Answer::page(0, 8, vec![config(2)]).without_era(),
+        Answer::changes(0, 9, vec![written(endpoint("b", false))]).without_era(),
+        Answer::changes(0, 7, Vec::new()).without_era(),
+    ]);
+    for time in [100_000, 100_100, 100_100, 100_500, 100_900, 102_500] {
+        follow.step_at(time);
+    }
+    // What was written after the second return has passed revision 9 by now.
+    assert_ne!(
+        follow.asked().last().map(String::as_str),
+        Some("changes after 9")
+    );
+}
+
+/// Guards against a process that is ignored for good, as its host's clock was set back before it started.
+#[test]
+fn an_endpoint_whose_clock_was_set_back_is_taken_although_reads_fail_now_and_then() {
+    let renewed = |beat| vec![written(at("a", "desk", "127.0.0.1:9002", 7, beat))];
+    let mut answers = vec![Answer::page(
+        4,
+        10,
+        vec![at("a", "desk", "127.0.0.1:9001", 9, 40)],
+    )];
+    for round in 0..8 {
+        answers.push(Answer::changes(4, 11 + round, renewed(round + 1)));
+        answers.push(Answer::refused());
+    }
+    let mut follow = Follow::new(answers);
+    let mut updates = vec![follow.step_at(100_000)];
+    for round in 0..8 {
+        updates.push(follow.step_at(101_000 + round * 4_000));
+        updates.push(follow.step_at(104_500 + round * 4_000));
+    }
+    let last = updates
+        .iter()
+        .rev()
+        .find_map(|update| update.endpoints.as_ref());
+    let listed = last.and_then(|list| list.get(&id("a")));
+    let address = listed.map(|listed| listed.address.to_string());
+    assert_eq!(address.as_deref(), Some("127.0.0.1:9002"));
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_does_not_bring_a_leaving_process_back() {
+    let unreadable = StoreDocument::Endpoint(id("a"), Err("garbage".to_owned()));
+    let mut follow = Follow::new(vec![
+        Answer::page(
+            4,
+            10,
+            vec![written_by("a", true, 7, 4), endpoint("b", false)],
+        ),
+        Answer::changes(4, 11, vec![written(unreadable)]),
+        Answer::changes(4, 12, vec![written(written_by("a", false, 7, 3))]),
+    ]);
+    let updates = follow.run(3);
+    assert_ne!(state_of(&updates, "a"), Some(ListingState::Ready));
+}
+
+/// Guards against a key revoked at 100.1 s, with a bound of 5 s, that is written again at 105.2 s only.
+#[test]
+fn a_copy_that_may_lack_a_revocation_confirms_nothing_past_its_bound() {
+    let mut follow = Follow::new(vec![
+        Answer::page(4, 10, vec![config(2)]),
+        Answer::changes(5, 10, Vec::new()),
+        Answer::page(5, 10, vec![config(2)]),
+        Answer::changes(5, 10, Vec::new()),
+    ]);
+    let times = [100_000, 103_000, 103_000, 105_150];
+    let confirmed = confirmations(&mut follow, &times);
+    let last = confirmed.last().copied().flatten();
+    let age = last.map(|confirmed_at| Duration::from_millis(105_150 - confirmed_at));
+    assert!(
+        age > Some(TIMES.token_age),
+        "the copy is {age:?} old, and opens the key"
+    );
+}
+
+#[test]
+fn an_endpoint_that_left_is_not_listed_again_when_the_copy_is_read_a_second_time() {
+    let left = || vec![written_by("a", false, 7, 4), endpoint("b", false)];
+    let mut follow = Follow::new(vec![
+        Answer::page(4, 10, left()),
+        Answer::changes(4, 11, vec![StoreChange::EndpointRemoved(id("a"))]),
+        Answer::gone(),
+        Answer::page(5, 10, left()),
+        Answer::gone(),
+        Answer::page(5, 10, left()),
+    ]);
+    let updates = follow.run(6);
+    assert_eq!(state_of(&updates, "a"), None);
+}
