fix(node): an entry that is ignored stays so when the same copy is listed again

An endpoint that had left was listed as ready when the store's older copy was read a second time (410 by compaction, a lower revision): its last entry was doubted in the listing that found the return alone. An entry that is doubted already now stays doubted until its time is over.

--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -421,7 +421,7 @@
             StoreDocument::Endpoint(id, Ok(endpoint)) => {
                 // A copy may hold the last entry of an endpoint that has left since.
                 let is_copy = update.restored.is_some();
-                if self.is_outdated(&id, &endpoint, is_copy) {
+                if self.is_outdated(&id, &endpoint, is_copy) || self.is_doubted(&id, &endpoint) {
                     self.doubt_endpoint(id, endpoint, now, update);
                 } else {
                     self.set_endpoint(id, endpoint, update);
@@ -460,6 +460,12 @@
         self.doubted.insert(id, (entry, since));
     }
 
+    /// Returns whether an entry is ignored already: the same copy may be listed more than once.
+    fn is_doubted(&self, id: &EndpointId, entry: &ListedEndpoint) -> bool {
+        let doubted = self.doubted.get(id);
+        doubted.is_some_and(|(doubted, _)| doubted == entry)
+    }
+
     /// Returns whether an entry is older than the last one of the endpoint, by an earlier process or an
     /// earlier heartbeat; in a copy, also whether it is the last entry of an endpoint that left.
     fn is_outdated(&self, id: &EndpointId, entry: &ListedEndpoint, is_copy: bool) -> bool {
