fix(node): an entry that cannot be read does not make the one before it forgotten

An endpoint that was draining, and whose entry became unreadable, was taken as ready again from an older write: only removals were remembered.

--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -430,6 +430,7 @@
             StoreDocument::Endpoint(id, Err(problem)) => {
                 self.doubted.remove(&id);
                 update.problems.push(format!("endpoint `{id}`: {problem}"));
+                self.remember_departed(&id, now);
                 self.drop_endpoint(id, ChangeKind::Unreadable, update);
             }
             StoreDocument::Other => {}
@@ -521,10 +522,14 @@
 
     /// Drops an endpoint that left, and remembers its last entry.
     fn forget_endpoint(&mut self, id: EndpointId, now: ClockTime, update: &mut StoreUpdate) {
-        if let Some(listed) = self.endpoints.get(&id) {
+        self.remember_departed(&id, now);
+        self.drop_endpoint(id, ChangeKind::Removed, update);
+    }
+
+    fn remember_departed(&mut self, id: &EndpointId, now: ClockTime) {
+        if let Some(listed) = self.endpoints.get(id) {
             self.departed.insert(id.clone(), (listed.clone(), now));
         }
-        self.drop_endpoint(id, ChangeKind::Removed, update);
     }
 
     fn drop_endpoint(&mut self, id: EndpointId, kind: ChangeKind, update: &mut StoreUpdate) {
