fix(node): the time of ignored entries is extended by each outage, not started anew

Entries can neither expire nor be renewed while reads fail, so that time does not count; all other time does.

--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -603,16 +603,17 @@
             self.grace_until = now + REREGISTRATION_GRACE;
             if self.is_outage_long(now) {
                 self.set_expiry(Some(self.grace_until), |_| true);
-                // Entries could neither expire nor be renewed meanwhile.
-                for (_, shown_since) in self.doubted.values_mut() {
-                    *shown_since = now;
-                }
             } else {
                 // The drain bound holds as if there had been no interruption.
                 let due = self.grace_until.min(self.removal_due());
                 self.set_expiry(Some(due), |until| until.is_none());
             }
-            update.ended_outage = Some(now.since(since));
+            let outage = now.since(since);
+            // Entries could neither expire nor be renewed meanwhile.
+            for (_, shown_since) in self.doubted.values_mut() {
+                *shown_since = *shown_since + outage;
+            }
+            update.ended_outage = Some(outage);
         }
         self.confirmed_at = confirmed_at;
     }
