fix(gateway): what other routers have in force is told by desks that know it

Class: an echo is taken for a second source.

A desk tells each router what others have, at once when that rises, and whether it has run long enough to know all routers (3.5 s after the first). The version of a router that has left is forgotten 60 s later, also while others come and go.

--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -43,6 +43,11 @@
 /// has lost for good.
 const CONFIG_MEMORY: Duration = Duration::from_secs(60);
 
+/// Time after its first router within which all routers connect to a desk that has started.
+///
+/// Routers try again after three seconds at most.
+const ROUTER_RETURN_TIME: Duration = Duration::from_millis(3_500);
+
 /// Action that the owner of a [`DeskMachine`] has to perform.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DeskAction {
@@ -64,12 +69,23 @@
     broker: LimitBroker,
     /// Newest configuration of the routers that have disconnected, and when that was.
     departed_config: Option<(u64, ClockTime)>,
+    /// When the first router connected.
+    first_router_at: Option<ClockTime>,
     routers: SortedMap<LinkId, RouterState>,
     actions: Vec<DeskAction>,
     last_sweep: ClockTime,
     invalid_evidence: usize,
 }
 
+/// The newest configurations that routers have in force, or had until shortly before.
+#[derive(Debug, Clone, Copy)]
+struct NewestConfigs {
+    /// The newest version of a connected router, and that router.
+    newest: (Option<LinkId>, Option<u64>),
+    /// The newest version of all others.
+    next: Option<u64>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct RouterState {
     last_heard: ClockTime,
@@ -84,6 +100,8 @@
     limit_sent: Option<RequestRate>,
     /// Version of the configuration that the router has in force.
     config_version: Option<u64>,
+    /// The newest version of other routers that was sent to it.
+    config_sent: Option<u64>,
 }
 
 impl DeskMachine {
@@ -97,6 +115,7 @@
             limit: (None, None),
             broker: LimitBroker::default(),
             departed_config: None,
+            first_router_at: None,
             routers: SortedMap::new(),
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
@@ -144,8 +163,10 @@
     pub fn link_down(&mut self, link: LinkId, now: ClockTime) {
         let router = self.routers.remove(&link);
         if let Some(version) = router.and_then(|router| router.config_version) {
-            let newest = self.newest_config(now).max(Some(version));
-            self.departed_config = newest.map(|newest| (newest, now));
+            let remembered = self.remembered_config(now);
+            if remembered.is_none_or(|remembered| version >= remembered) {
+                self.departed_config = Some((version, now));
+            }
         }
         self.meter.drop_link(link);
         self.broker.drop_link(link);
@@ -198,6 +219,7 @@
     }
 
     fn register_router(&mut self, link: LinkId, hello: &DeskHello, now: ClockTime) {
+        self.first_router_at.get_or_insert(now);
         let mut limits = GateLimits::engine(hello.slots, hello.memory);
         limits.pause = Duration::from_millis(u64::from(hello.pause_ms));
         self.desk.gate_mut().set_limits(limits);
@@ -221,6 +243,7 @@
                 rate: PrefillRate::default(),
                 limit_sent: None,
                 config_version: hello.config_version,
+                config_sent: None,
             },
         );
         for frame in self.board.to_frames(now) {
@@ -314,10 +337,21 @@
 
     fn send_states(&mut self, now: ClockTime) {
         let limit = self.limit.0;
-        let is_due = |router: &RouterState| router.is_check_due(now) || router.limit_sent != limit;
-        if !self.routers.values().any(is_due) {
+        let newest = self.newest_configs(now);
+        let is_due = |link: LinkId, router: &RouterState| {
+            let has_news = router.limit_sent != limit || router.config_sent < newest.without(link);
+            has_news || router.is_check_due(now)
+        };
+        let is_any_due = self
+            .routers
+            .iter()
+            .any(|(link, router)| is_due(*link, router));
+        if !is_any_due {
             return;
         }
+        let knows_routers = self
+            .first_router_at
+            .is_some_and(|first| now.since(first) >= ROUTER_RETURN_TIME);
         let state = self.desk.state(now);
         let frame = DeskStateFrame {
             wait_ms: state.wait.as_millis() as u32,
@@ -325,14 +359,17 @@
             running: state.running,
             limit: limit.map(RequestRate::get),
             routers: self.routers.len() as u32,
-            newest_config: self.newest_config(now),
+            newest_config: None,
+            knows_routers,
         };
         for (link, router) in self.routers.iter_mut() {
-            if !is_due(router) {
+            if !is_due(*link, router) {
                 continue;
             }
             router.last_check = now;
+            let newest_config = newest.without(*link);
             let must_send = router.limit_sent != limit
+                || router.config_sent < newest_config
                 || now.since(router.last_sent) >= STATE_INTERVALS.1
                 || router.is_forecast_off(&state, now)
                 // A router disconnects a desk that owes it an answer and stays silent.
@@ -340,6 +377,11 @@
             if must_send {
                 router.last_sent = now;
                 router.limit_sent = limit;
+                router.config_sent = newest_config;
+                let frame = DeskStateFrame {
+                    newest_config,
+                    ..frame
+                };
                 router.forecast.reset(state.wait, now);
                 router.rate = state.rate;
                 self.actions
@@ -348,13 +390,28 @@
         }
     }
 
-    /// Returns the newest configuration that routers have in force, or had until shortly before.
-    fn newest_config(&self, now: ClockTime) -> Option<u64> {
-        let connected = self.routers.values();
-        let connected = connected.filter_map(|router| router.config_version).max();
+    /// Returns the newest configuration of routers that had it until shortly before.
+    fn remembered_config(&self, now: ClockTime) -> Option<u64> {
         let departed = self.departed_config;
         let departed = departed.filter(|(_, at)| now.since(*at) < CONFIG_MEMORY);
-        connected.max(departed.map(|(version, _)| version))
+        departed.map(|(version, _)| version)
+    }
+
+    fn newest_configs(&self, now: ClockTime) -> NewestConfigs {
+        let mut newest = NewestConfigs {
+            newest: (None, None),
+            next: self.remembered_config(now),
+        };
+        for (link, router) in self.routers.iter() {
+            let version = router.config_version;
+            if version > newest.newest.1 {
+                newest.next = newest.next.max(newest.newest.1);
+                newest.newest = (Some(*link), version);
+            } else {
+                newest.next = newest.next.max(version);
+            }
+        }
+        newest
     }
 
     fn close_silent_links(&mut self, now: ClockTime) {
@@ -376,6 +433,17 @@
     }
 }
 
+impl NewestConfigs {
+    /// Returns the newest version that others than `link` have.
+    fn without(&self, link: LinkId) -> Option<u64> {
+        let (holder, newest) = self.newest;
+        if holder == Some(link) {
+            return self.next;
+        }
+        newest.max(self.next)
+    }
+}
+
 impl RouterState {
     /// Returns whether the router's wait forecast or prefill rate deviates beyond the tolerance.
     fn is_forecast_off(&self, state: &DeskState, now: ClockTime) -> bool {
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -2,9 +2,9 @@
 
 use super::action::{GatewayAction, RefusalReason, RetryDenial};
 use super::call::{AttemptEnd, GatewayCall};
+use super::config_check::ConfigCheck;
 use super::endpoint_state::EndpointState;
 use super::placing::PlacementPlan;
-use super::start_check::StartCheck;
 use crate::collect::SortedMap;
 use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, RunKey};
 use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
@@ -80,7 +80,7 @@
     pub(super) evidence_sent: usize,
     /// Version of the configuration in force.
     pub(super) config_version: Option<u64>,
-    pub(super) start_check: StartCheck,
+    pub(super) config_check: ConfigCheck,
 }
 
 /// Retry budget and prefill statistics of one service.
@@ -192,7 +192,7 @@
             last_router_count: 1,
             evidence_sent: 0,
             config_version: None,
-            start_check: StartCheck::default(),
+            config_check: ConfigCheck::default(),
         }
     }
 
--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod call;
+mod config_check;
 mod crash_evidence;
 mod endpoint_limits;
 mod endpoint_state;
@@ -13,7 +14,6 @@
 mod machine;
 mod placing;
 mod remote_desk;
-mod start_check;
 
 pub use action::{GatewayAction, RefusalReason, RetryDenial};
 pub use call::{AttemptEnd, CallBuilder, GatewayCall};
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -89,10 +89,9 @@
                 remote.spacing = spacing.unwrap_or_default();
                 state.desk.set_rate(remote.rate);
                 self.last_router_count = frame.routers;
-                if let Some(newest) = frame.newest_config {
-                    let version = self.config_version.unwrap_or_default();
-                    self.start_check.hear(newest, version);
-                }
+                let is_answer = frame.newest_config.is_some() || frame.knows_routers;
+                let newest = frame.newest_config;
+                self.config_check.hear(endpoint, newest, is_answer, now);
                 let known = state.limit;
                 if is_new {
                     self.send_board(endpoint, now);
@@ -209,28 +208,34 @@
         }
     }
 
-    /// Records that the configuration `version` is in force, and tells all desks; `has_desks` if any
-    /// endpoint has one.
-    pub fn set_config_version(&mut self, version: u64, has_desks: bool, now: ClockTime) {
+    /// Records that the configuration `version` is in force while `desks` endpoints have a desk, and tells
+    /// the connected ones.
+    pub fn set_config_version(&mut self, version: u64, desks: usize, now: ClockTime) {
         self.config_version = Some(version);
-        self.start_check.record_config(version, has_desks, now);
+        self.config_check.record_config(version, desks, now);
         for endpoint in self.connected_desks() {
             let notice = DeskMessage::Config(ConfigNotice { version });
             self.send_to_desk(&endpoint, notice);
         }
     }
 
+    /// Compares the configuration in force with that of other routers again, as the store came back from
+    /// an older copy.
+    pub const fn recheck_config(&mut self, now: ClockTime) {
+        self.config_check.restart(now);
+    }
+
     /// Returns whether the configuration in force is as new as the one that other routers have, as far
-    /// as desks have told since the start.
+    /// as desks have told since the start or the store's last return from an older copy.
     #[must_use]
     pub fn is_config_current(&self, now: ClockTime) -> bool {
-        self.start_check.is_passed(now)
+        self.config_check.is_passed(now)
     }
 
-    /// Returns the newest configuration that other routers had in force when this one started.
+    /// Returns the newest configuration that desks have heard of from other routers.
     #[must_use]
     pub const fn newest_config_heard(&self) -> Option<u64> {
-        self.start_check.newest_heard()
+        self.config_check.newest_heard()
     }
 
     /// Returns whether the endpoint's own desk decides on admission.
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -101,9 +101,12 @@
     /// Number of routers that are connected to the desk.
     #[prost(uint32, tag = "5")]
     pub routers: u32,
-    /// Newest version of the configuration that routers are known to have in force.
+    /// Newest version of the configuration that other routers are known to have in force.
     #[prost(uint64, optional, tag = "6")]
     pub newest_config: Option<u64>,
+    /// Whether the desk has run for long enough that all routers are connected.
+    #[prost(bool, tag = "7")]
+    pub knows_routers: bool,
 }
 
 /// One frame between a router and a desk.
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -350,10 +350,9 @@
                 .map(|(id, listed)| (id.clone(), SocketAddr::new(listed.address.ip(), port)));
             let desks: SortedMap<EndpointId, SocketAddr> = desks.collect();
             if is_config_new {
-                let (version, has_desks) = (config.version(), !desks.is_empty());
                 let now = self.now();
                 let mut machine = self.machine.borrow_mut();
-                machine.set_config_version(version, has_desks, now);
+                machine.set_config_version(config.version(), desks.len(), now);
             }
             self.desks.set_targets(self, &desks);
             self.report_config_wait();
