fix(gateway): a router that missed a lost revocation waits for it if others know it

A router that was cut off or asleep while a token was revoked, and that found the store at an older copy without the revocation, served the token on: only routers that start compared their configuration with that of others.

The comparison begins anew whenever the store has come back from an older copy.

--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1160,3 +1160,19 @@
     machine.receive_desk_message(&endpoint(1), desk_state_with_config(5), at(40));
     assert!(!machine.is_config_current(at(100)));
 }
+
+#[test]
+fn a_router_that_missed_a_configuration_waits_for_it_after_the_store_came_back_older() {
+    let mut machine = machine(1, 8, Some(100_000));
+    machine.set_config_version(3, 1, at(0));
+    machine.receive_desk_message(&endpoint(0), desk_state_with_config(3), at(10));
+    machine.receive_desk_message(&endpoint(0), desk_state_with_config(4), at(20_000));
+    assert!(
+        machine.is_config_current(at(20_000)),
+        "the store will show it"
+    );
+    machine.recheck_config(at(20_100));
+    assert!(!machine.is_config_current(at(20_100)));
+    machine.set_config_version(4, 1, at(21_000));
+    assert!(machine.is_config_current(at(21_000)));
+}
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -323,6 +323,9 @@
     /// Applies what a read of the store changed to the configuration, the endpoints and the desks.
     pub(super) fn apply_store_update(self: &Rc<Self>, update: StoreUpdate) {
         let is_config_new = update.config.is_some();
+        if update.restored.is_some() {
+            self.machine.borrow_mut().recheck_config(self.now());
+        }
         if let Some(config) = update.config {
             let bound = self.settings.borrow().times.config;
             self.caller_limits.set(config.limits(), bound);
