feat(gateway): refusals name the customer, its usage and where they were decided

Change: a line refused-by per refused request (stage host, router, arrival or line; usage of the customer and of the one served most, as the desk that refused knows them, with their ages), and once a second and router a line customer-shares (asked, started and refused tokens by customer, at most 24 customers, only if anything was refused). The refusal frame of a desk carries the figures for logs; no decision reads them.

--- a/crates/cicadalock-core/src/desk/customer_meter.rs
+++ b/crates/cicadalock-core/src/desk/customer_meter.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::customer_usage::CustomerUsage;
 use crate::collect::SortedMap;
 use crate::id::{CustomerId, LinkId};
 use crate::message::CustomerTotal;
@@ -54,6 +55,29 @@
         links.map_or(0.0, |links| links.values().map(|cost| cost.at(now)).sum())
     }
 
+    /// Returns a customer's recent usage and how old the report is that most of it comes from.
+    #[must_use]
+    pub fn usage(&self, customer: CustomerId, now: ClockTime) -> CustomerUsage {
+        let links = self.customers.get(&customer);
+        let parts = links.into_iter().flat_map(SortedMap::values);
+        let largest = parts.max_by(|left, right| left.at(now).total_cmp(&right.at(now)));
+        CustomerUsage {
+            received: self.received(customer, now),
+            age: largest.map_or(Duration::ZERO, |part| now.since(part.at)),
+        }
+    }
+
+    /// Returns the usage of the customer that received most.
+    #[must_use]
+    pub fn best_usage(&self, now: ClockTime) -> CustomerUsage {
+        let customers = self.customers.keys();
+        let best = customers.max_by(|left, right| {
+            self.received(**left, now)
+                .total_cmp(&self.received(**right, now))
+        });
+        best.map_or_else(CustomerUsage::default, |best| self.usage(*best, now))
+    }
+
     /// Returns a customer's recent usage through `link`, in cost units.
     #[must_use]
     pub fn received_through(&self, customer: CustomerId, link: LinkId, now: ClockTime) -> f64 {
--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::customer_meter::CustomerMeter;
+use super::customer_usage::CustomerUsage;
 use super::endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 use super::endpoint_gate::GateLimits;
 use super::limit_broker::LimitBroker;
@@ -11,7 +12,7 @@
 use crate::id::{CustomerId, LinkId, RequestId};
 use crate::message::{
     DemandFrame, DeskAskFrame, DeskHello, DeskMessage, DeskNotice, DeskRefusalFrame,
-    DeskStateFrame, DeskSums, DeskTotals, EvidenceFrame, LimitFrame,
+    DeskStateFrame, DeskSums, DeskTotals, EvidenceFrame, LimitFrame, UsageFrame,
 };
 use crate::place::PrefillRate;
 use crate::quarantine::EvidenceBoard;
@@ -32,6 +33,9 @@
 /// Change of the prefill rate that is tolerated, as a fraction of the rate last sent.
 const RATE_TOLERANCE: f64 = 0.1;
 
+/// Interval at which the usage of the customer served most is computed again, for logs of refusals.
+const BEST_USAGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Silence after which a router is disconnected and its requests are dropped.
 ///
 /// A live router sends a message every second.
@@ -75,6 +79,8 @@
     actions: Vec<DeskAction>,
     last_sweep: ClockTime,
     invalid_evidence: usize,
+    /// Usage of the customer served most, and when it was computed.
+    best_usage: (CustomerUsage, ClockTime),
 }
 
 /// The newest configurations that routers have in force, or had until shortly before.
@@ -120,6 +126,7 @@
             actions: Vec::new(),
             last_sweep: ClockTime::default(),
             invalid_evidence: 0,
+            best_usage: (CustomerUsage::default(), ClockTime::default()),
         }
     }
 
@@ -192,7 +199,7 @@
         if now.since(self.last_sweep) >= SWEEP_INTERVAL {
             self.last_sweep = now;
             for refusal in self.desk.refuse_overdue(now) {
-                self.refuse(refusal);
+                self.refuse(refusal, now);
             }
             self.close_silent_links(now);
             self.board.expire(now);
@@ -264,7 +271,7 @@
         }
         let key = (link, RequestId::new(frame.request));
         if let Err(refusal) = self.desk.ask(key, desk_ask(frame, now), &self.meter, now) {
-            self.refuse(refusal);
+            self.refuse(refusal, now);
         }
     }
 
@@ -317,13 +324,22 @@
         }
     }
 
-    fn refuse(&mut self, refusal: DeskRefusal) {
+    fn refuse(&mut self, refusal: DeskRefusal, now: ClockTime) {
         let (link, request) = refusal.key;
         self.forget_request(link);
+        if now.since(self.best_usage.1) >= BEST_USAGE_INTERVAL {
+            self.best_usage = (self.meter.best_usage(now), now);
+        }
+        let (best, best_at) = self.best_usage;
+        let own = self.meter.usage(refusal.customer, now);
+        let best_age = best.age + now.since(best_at);
         let frame = DeskRefusalFrame {
             request: request.get(),
             come_back_ms: refusal.retry_after.as_millis() as u32,
             is_limited: refusal.is_limited,
+            is_overdue: refusal.is_overdue,
+            own: Some(usage_frame(own.received, own.age)),
+            best: Some(usage_frame(best.received, best_age)),
         };
         self.actions
             .push(DeskAction::Send(link, DeskMessage::Refuse(frame)));
@@ -466,6 +482,13 @@
     }
 }
 
+fn usage_frame(received: f64, age: Duration) -> UsageFrame {
+    UsageFrame {
+        received: received as f32,
+        age_ms: age.as_millis() as u32,
+    }
+}
+
 const fn key(link: LinkId, notice: DeskNotice) -> RunKey {
     (link, RequestId::new(notice.request))
 }
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -52,6 +52,10 @@
     pub retry_after: Duration,
     /// Whether the rate of requests that the endpoint takes is the reason.
     pub is_limited: bool,
+    /// Whether the request waited in line until its latest useful start passed.
+    pub is_overdue: bool,
+    /// Customer of the request.
+    pub customer: CustomerId,
 }
 
 /// Endpoint state that a desk reports to routers.
@@ -164,6 +168,8 @@
                 key,
                 retry_after: retry_after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1),
                 is_limited: self.gate.limit_wait(1, now) > time_left,
+                is_overdue: false,
+                customer: ask.customer,
             });
         }
         self.queue.push(key, DeskAsk { asked: now, ..ask });
@@ -235,10 +241,12 @@
             .backlog(now)
             .max(limit_wait)
             .clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
-        let refusals = overdue.into_iter().map(|(key, _)| DeskRefusal {
+        let refusals = overdue.into_iter().map(|(key, ask)| DeskRefusal {
             key,
             retry_after,
             is_limited: !limit_wait.is_zero(),
+            is_overdue: true,
+            customer: ask.customer,
         });
         refusals.collect()
     }
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -29,6 +29,7 @@
 //! ```
 
 mod customer_meter;
+mod customer_usage;
 mod desk_machine;
 mod endpoint_desk;
 mod endpoint_gate;
@@ -39,6 +40,7 @@
 mod wait_queue;
 
 pub use customer_meter::CustomerMeter;
+pub use customer_usage::{CustomerUsage, UsageComparison};
 pub use desk_machine::{DeskAction, DeskMachine};
 pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
 pub(crate) use endpoint_gate::DEFAULT_PAUSE;
--- a/crates/cicadalock-core/src/gateway/action.rs
+++ b/crates/cicadalock-core/src/gateway/action.rs
@@ -2,7 +2,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::id::{EndpointId, RequestId};
+use super::customer_tally::{CustomerShare, RefusalStage};
+use crate::desk::UsageComparison;
+use crate::id::{CustomerId, EndpointId, RequestId};
 use crate::message::DeskMessage;
 use crate::quarantine::GuardChange;
 
@@ -51,7 +53,23 @@
         reason: RefusalReason,
         /// Delay after which capacity is likely to be available.
         retry_after: Duration,
+        /// What decided, for logs.
+        detail: RefusalDetail,
     },
+    /// Report what the customers of this router asked for and got since the last report.
+    ReportShares(Vec<(CustomerId, CustomerShare)>),
+}
+
+/// What decided that a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RefusalDetail {
+    /// Customer of the request.
+    pub customer: CustomerId,
+    /// Where it was refused.
+    pub stage: RefusalStage,
+    /// Usage of the customer beside that of the one served most, as the desk knows it; `None` before
+    /// any desk was asked.
+    pub usage: Option<UsageComparison>,
 }
 
 /// Why a request is refused.
--- a/crates/cicadalock-core/src/gateway/crash_evidence.rs
+++ b/crates/cicadalock-core/src/gateway/crash_evidence.rs
@@ -166,8 +166,11 @@
         });
         let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
         for id in waiting {
+            let call = self.requests.get(&id).map(|request| request.call.clone());
             self.withdraw(id, now);
-            self.refuse(id, RefusalReason::CrashingPart, Duration::ZERO);
+            if let Some(call) = call {
+                self.refuse_here(id, &call, RefusalReason::CrashingPart, Duration::ZERO);
+            }
         }
     }
 
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -1,13 +1,14 @@
 use std::time::Duration;
 
-use super::action::{GatewayAction, RefusalReason, RetryDenial};
+use super::action::{GatewayAction, RefusalDetail, RefusalReason, RetryDenial};
 use super::call::{AttemptEnd, GatewayCall};
 use super::config_check::ConfigCheck;
+use super::customer_tally::{CustomerTally, RefusalStage};
 use super::endpoint_state::EndpointState;
 use super::placing::PlacementPlan;
 use crate::collect::SortedMap;
-use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, RunKey};
-use crate::id::{EndpointId, LinkId, RequestId, ServiceName, ZoneName};
+use crate::desk::{CustomerMeter, DeskAsk, DeskRefusal, RunKey, UsageComparison};
+use crate::id::{CustomerId, EndpointId, LinkId, RequestId, ServiceName, ZoneName};
 use crate::message::{DeskMessage, DeskNotice};
 use crate::place::PrefixMemory;
 use crate::quarantine::PartGuard;
@@ -81,6 +82,7 @@
     /// Version of the configuration in force.
     pub(super) config_version: Option<u64>,
     pub(super) config_check: ConfigCheck,
+    pub(super) tally: CustomerTally,
 }
 
 /// Retry budget and prefill statistics of one service.
@@ -193,6 +195,7 @@
             evidence_sent: 0,
             config_version: None,
             config_check: ConfigCheck::default(),
+            tally: CustomerTally::default(),
         }
     }
 
@@ -253,6 +256,7 @@
         let traffic = self.traffic_entry(&call.service);
         traffic.budget.record_request(now);
         traffic.record_request(now);
+        self.tally.record_asked(call.customer, call.cost());
         self.enqueue(id, call, now);
     }
 
@@ -445,11 +449,12 @@
     /// Places a request and queues it at the chosen endpoint's desk, or refuses it.
     pub(super) fn enqueue(&mut self, id: RequestId, mut call: GatewayCall, now: ClockTime) {
         if !self.admits_prompt(&mut call, now) {
-            self.refuse(id, RefusalReason::CrashingPart, Duration::ZERO);
+            self.refuse_here(id, &call, RefusalReason::CrashingPart, Duration::ZERO);
             return;
         }
         let Some(plan) = self.plan(&call, now) else {
-            self.refuse(id, RefusalReason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER);
+            let retry_after = NO_ENDPOINT_RETRY_AFTER;
+            self.refuse_here(id, &call, RefusalReason::NoEndpoint, retry_after);
             return;
         };
         self.traffic_entry(&call.service).record_work(&plan);
@@ -468,7 +473,7 @@
             None => match state.desk.ask(own_key(id), ask, &self.meter, now) {
                 Ok(()) => GatewayPhase::Waiting,
                 Err(refusal) => {
-                    self.refuse(id, RefusalReason::NoRoomInTime, refusal.retry_after);
+                    self.refuse_at_own_desk(id, &call, &refusal, now);
                     return;
                 }
             },
@@ -512,6 +517,8 @@
             begun: None,
         };
         state.own_requests += 1;
+        self.tally
+            .record_started(request.call.customer, request.call.cost());
         if let Some(prompt) = &request.call.prompt {
             self.memory.record(&endpoint, prompt, now);
         }
@@ -538,8 +545,9 @@
             .collect();
         for refusal in overdue {
             let (_, id) = refusal.key;
-            self.requests.remove(&id);
-            self.refuse(id, RefusalReason::NoRoomInTime, refusal.retry_after);
+            if let Some(request) = self.requests.remove(&id) {
+                self.refuse_at_own_desk(id, &request.call, &refusal, now);
+            }
         }
     }
 
@@ -583,18 +591,73 @@
         }
     }
 
+    /// Refuses a request without asking a desk.
+    pub(super) fn refuse_here(
+        &mut self,
+        request: RequestId,
+        call: &GatewayCall,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        let detail = RefusalDetail {
+            customer: call.customer,
+            stage: RefusalStage::Router,
+            usage: None,
+        };
+        self.refuse(request, call.cost(), reason, retry_after, detail);
+    }
+
+    /// Refuses a request that this router's local desk refused.
+    fn refuse_at_own_desk(
+        &mut self,
+        request: RequestId,
+        call: &GatewayCall,
+        refusal: &DeskRefusal,
+        now: ClockTime,
+    ) {
+        let usage = UsageComparison {
+            own: self.meter.usage(call.customer, now),
+            best: self.meter.best_usage(now),
+        };
+        let detail = RefusalDetail {
+            customer: call.customer,
+            stage: RefusalStage::at_desk(refusal.is_overdue),
+            usage: Some(usage),
+        };
+        let retry_after = refusal.retry_after;
+        self.refuse(
+            request,
+            call.cost(),
+            RefusalReason::NoRoomInTime,
+            retry_after,
+            detail,
+        );
+    }
+
     pub(super) fn refuse(
         &mut self,
         request: RequestId,
+        cost: u64,
         reason: RefusalReason,
         retry_after: Duration,
+        detail: RefusalDetail,
     ) {
+        self.tally
+            .record_refused(detail.customer, cost, detail.stage);
         self.actions.push(GatewayAction::Refuse {
             request,
             reason,
             retry_after,
+            detail,
         });
     }
+
+    /// Counts a request that was refused before it was submitted, as the host cannot keep up.
+    pub fn record_host_refusal(&mut self, customer: CustomerId, cost: u64) {
+        self.tally.record_asked(customer, cost);
+        self.tally
+            .record_refused(customer, cost, RefusalStage::Host);
+    }
 }
 
 fn build_ask(call: &GatewayCall, plan: &PlacementPlan, now: ClockTime) -> DeskAsk {
--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod config_check;
 mod crash_evidence;
+mod customer_tally;
 mod endpoint_limits;
 mod endpoint_state;
 mod lag_meter;
@@ -15,7 +16,8 @@
 mod placing;
 mod remote_desk;
 
-pub use action::{GatewayAction, RefusalReason, RetryDenial};
+pub use action::{GatewayAction, RefusalDetail, RefusalReason, RetryDenial};
 pub use call::{AttemptEnd, CallBuilder, GatewayCall};
+pub use customer_tally::{CustomerShare, RefusalStage};
 pub use lag_meter::LagMeter;
 pub use machine::{GatewayBounds, GatewayMachine};
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -1,13 +1,15 @@
 use std::time::Duration;
 
-use super::action::{GatewayAction, RefusalReason};
+use super::action::{GatewayAction, RefusalDetail, RefusalReason};
+use super::customer_tally::RefusalStage;
 use super::machine::{
     GatewayMachine, GatewayPhase, OTHER_ROUTERS_LINK, OWN_LINK, TOTALS_INTERVAL, own_key,
 };
-use crate::desk::{DeskAsk, RequestRate};
+use crate::desk::{CustomerUsage, DeskAsk, RequestRate, UsageComparison};
 use crate::id::{CustomerId, EndpointId, RequestId};
 use crate::message::{
-    ConfigNotice, DeskAskFrame, DeskHello, DeskMessage, DeskRun, DeskSums, DeskTotals,
+    ConfigNotice, DeskAskFrame, DeskHello, DeskMessage, DeskRefusalFrame, DeskRun, DeskSums,
+    DeskTotals, UsageFrame,
 };
 use crate::place::PrefillRate;
 use crate::time::ClockTime;
@@ -116,8 +118,7 @@
                 let id = RequestId::new(frame.request);
                 let asked = self.requests.get(&id);
                 if asked.is_some_and(|request| request.phase == GatewayPhase::Asked) {
-                    let advice = Duration::from_millis(u64::from(frame.come_back_ms));
-                    self.handle_refusal(id, frame.is_limited, advice, now);
+                    self.handle_refusal(id, &frame, now);
                 }
             }
             DeskMessage::Sums(sums) => self.apply_sums(&sums, now),
@@ -129,25 +130,30 @@
 
     /// Refuses a request that the desk of its endpoint refused, or asks another one if only the limit of
     /// that endpoint was the reason.
-    fn handle_refusal(
-        &mut self,
-        id: RequestId,
-        is_limited: bool,
-        advice: Duration,
-        now: ClockTime,
-    ) {
+    fn handle_refusal(&mut self, id: RequestId, frame: &DeskRefusalFrame, now: ClockTime) {
         let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
         let call = &mut request.call;
-        if is_limited && call.passed_over.len() < MAX_PASSED_OVER {
+        if frame.is_limited && call.passed_over.len() < MAX_PASSED_OVER {
             call.passed_over.push(request.plan.endpoint);
             if self.plan(call, now).is_some() {
                 self.enqueue(id, request.call, now);
                 return;
             }
         }
-        self.refuse(id, RefusalReason::NoRoomInTime, advice);
+        let usage = UsageComparison {
+            own: usage_of(frame.own),
+            best: usage_of(frame.best),
+        };
+        let detail = RefusalDetail {
+            customer: request.call.customer,
+            stage: RefusalStage::at_desk(frame.is_overdue),
+            usage: Some(usage),
+        };
+        let advice = Duration::from_millis(u64::from(frame.come_back_ms));
+        let (cost, reason) = (request.call.cost(), RefusalReason::NoRoomInTime);
+        self.refuse(id, cost, reason, advice, detail);
     }
 
     /// Derives what customers received through other routers from the sums over all routers.
@@ -168,6 +174,10 @@
             return;
         }
         self.last_exchange = now;
+        let shares = self.tally.take();
+        if !shares.is_empty() {
+            self.actions.push(GatewayAction::ReportShares(shares));
+        }
         self.send_evidence(now);
         self.report_demands(now);
         let desks = self.connected_desks();
@@ -315,3 +325,11 @@
         }
     }
 }
+
+fn usage_of(frame: Option<UsageFrame>) -> CustomerUsage {
+    let frame = frame.unwrap_or_default();
+    CustomerUsage {
+        received: f64::from(frame.received),
+        age: Duration::from_millis(u64::from(frame.age_ms)),
+    }
+}
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -70,7 +70,7 @@
 }
 
 /// The desk refuses to admit a request.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct DeskRefusalFrame {
     /// Number of the request at the router.
     #[prost(uint64, tag = "1")]
@@ -81,6 +81,26 @@
     /// Whether the endpoint's limit is the reason, so that other endpoints may have room.
     #[prost(bool, tag = "3")]
     pub is_limited: bool,
+    /// Whether the request waited in line until its latest useful start passed.
+    #[prost(bool, tag = "4")]
+    pub is_overdue: bool,
+    /// Recent usage of the request's customer, as the desk knows it; for logs.
+    #[prost(message, optional, tag = "5")]
+    pub own: Option<UsageFrame>,
+    /// Recent usage of the customer served most, as the desk knows it; for logs.
+    #[prost(message, optional, tag = "6")]
+    pub best: Option<UsageFrame>,
+}
+
+/// Recent usage of a customer.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct UsageFrame {
+    /// Exponentially decayed cost through all routers, in cost units.
+    #[prost(float, tag = "1")]
+    pub received: f32,
+    /// Time since the router that contributes most reported its part, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 
 /// A desk's estimate of its endpoint's load.
--- a/crates/cicadalock-core/src/message/mod.rs
+++ b/crates/cicadalock-core/src/message/mod.rs
@@ -26,7 +26,7 @@
 pub use desk::{
     ConfigNotice, CrashFrame, CustomerTotal, DemandFrame, DeskAskFrame, DeskEnvelope, DeskHello,
     DeskMessage, DeskNotice, DeskRefusalFrame, DeskRun, DeskStateFrame, DeskSums, DeskTotals,
-    EvidenceFrame, LimitFrame, ShareFrame, SoundFrame, SuspectFrame,
+    EvidenceFrame, LimitFrame, ShareFrame, SoundFrame, SuspectFrame, UsageFrame,
 };
 pub use envelope::{Envelope, PeerMessage};
 pub use work::{
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use cicadalock_core::collect::SortedMap;
+use cicadalock_core::desk::{CustomerUsage, UsageComparison};
 use cicadalock_core::gateway::{
-    AttemptEnd, GatewayAction, GatewayBounds, GatewayCall, GatewayMachine, LagMeter, RefusalReason,
-    RetryDenial,
+    AttemptEnd, GatewayAction, GatewayBounds, GatewayCall, GatewayMachine, LagMeter, RefusalDetail,
+    RefusalReason, RefusalStage, RetryDenial,
 };
 use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
 use cicadalock_core::message::{
     CrashFrame, CustomerTotal, DeskMessage, DeskNotice, DeskRefusalFrame, DeskStateFrame, DeskSums,
-    EvidenceFrame,
+    EvidenceFrame, UsageFrame,
 };
 use cicadalock_core::retry::RetryWindow;
 use cicadalock_core::serving::{
@@ -581,7 +582,15 @@
     let frame = DeskRefusalFrame {
         request: 1,
         come_back_ms: 700,
-        is_limited: false,
+        own: Some(UsageFrame {
+            received: 120.0,
+            age_ms: 300,
+        }),
+        best: Some(UsageFrame {
+            received: 450.0,
+            age_ms: 20,
+        }),
+        ..DeskRefusalFrame::default()
     };
     machine.receive_desk_message(&endpoint(0), DeskMessage::Refuse(frame), at(3));
     let actions = machine.take_actions(at(3));
@@ -589,6 +598,20 @@
         request: RequestId::new(1),
         reason: RefusalReason::NoRoomInTime,
         retry_after: Duration::from_millis(700),
+        detail: RefusalDetail {
+            customer: call(at(0), true).customer,
+            stage: RefusalStage::Arrival,
+            usage: Some(UsageComparison {
+                own: CustomerUsage {
+                    received: 120.0,
+                    age: Duration::from_millis(300),
+                },
+                best: CustomerUsage {
+                    received: 450.0,
+                    age: Duration::from_millis(20),
+                },
+            }),
+        },
     };
     assert_eq!(actions, [expected]);
 }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RetryDenial};
+use cicadalock_core::gateway::{AttemptEnd, GatewayCall, RefusalDetail, RetryDenial};
 use cicadalock_core::id::{CustomerId, CustomerName, EndpointId};
-use cicadalock_core::serving::{RouteConfig, ServingConfig};
+use cicadalock_core::serving::{PromptShape, RouteConfig, ServingConfig};
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -216,6 +216,15 @@
         return Err(CallerRefusal::client_error(404, "no-route"));
     };
     if shared.is_behind() {
+        let customer = fields
+            .token
+            .as_deref()
+            .and_then(|token| config.customer(token));
+        if let Some(customer) = customer {
+            let cost = fields.prompt.as_ref().map_or(1, PromptShape::cost);
+            let mut machine = shared.machine.borrow_mut();
+            machine.record_host_refusal(CustomerId::of(customer), cost);
+        }
         return Err(CallerRefusal::not_run("host-behind", DEFAULT_RETRY_AFTER));
     }
     let customer = if config.has_customers() && !route.is_public {
@@ -321,7 +330,9 @@
                 Ok(Some(StartVerdict::Refuse {
                     reason,
                     retry_after,
+                    detail,
                 })) => {
+                    self.log_refusal_detail(reason.name(), &detail);
                     let mut refusal = self.refusal_before_start(reason.name(), retry_after);
                     if reason.is_final() {
                         refusal.retry_after = None;
@@ -655,6 +666,25 @@
         );
     }
 
+    /// Logs what decided that the request is refused, beside the line of the answer.
+    fn log_refusal_detail(&self, reason: &str, detail: &RefusalDetail) {
+        let usage = detail.usage.unwrap_or_default();
+        self.shared.log.write(
+            "refused-by",
+            json!({
+                "request": self.request.number,
+                "customer": self.request.customer.as_ref().map(CustomerName::as_str),
+                "customer_id": detail.customer.get(),
+                "reason": reason,
+                "stage": detail.stage.name(),
+                "received": usage.own.received as u64,
+                "received_age_ms": usage.own.age.as_millis() as u64,
+                "best": usage.best.received as u64,
+                "best_age_ms": usage.best.age.as_millis() as u64,
+            }),
+        );
+    }
+
     fn log_failure(&self, failed: &FailedAttempt, next: &str) {
         failed
             .failure
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -6,13 +6,14 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::gateway::{
-    AttemptEnd, GatewayAction, GatewayMachine, LagMeter, RefusalReason,
+    AttemptEnd, CustomerShare, GatewayAction, GatewayMachine, LagMeter, RefusalDetail,
+    RefusalReason,
 };
-use cicadalock_core::id::{EndpointId, RequestId};
+use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
 use cicadalock_core::message::DeskMessage;
 use cicadalock_core::serving::{ServingConfig, StoreFreshness};
 use cicadalock_core::time::ClockTime;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::{Notify, oneshot};
 
 use super::answer_buffer::AnswerBuffers;
@@ -45,6 +46,7 @@
     Refuse {
         reason: RefusalReason,
         retry_after: Duration,
+        detail: RefusalDetail,
     },
 }
 
@@ -364,6 +366,24 @@
         self.store_read.notify_waiters();
     }
 
+    /// Logs what customers asked for, got and were refused since the last report, in tokens.
+    fn report_shares(&self, shares: &[(CustomerId, CustomerShare)]) {
+        let lines = shares.iter().map(|(customer, share)| {
+            let [host, router, arrival, line] = share.refused;
+            let id = customer.get();
+            json!([id, share.asked, share.started, host, router, arrival, line])
+        });
+        let lines: Vec<Value> = lines.collect();
+        self.log.write(
+            "customer-shares",
+            json!({
+                "fields": ["customer", "asked", "started", "refused_host", "refused_router",
+                    "refused_arrival", "refused_line"],
+                "customers": lines,
+            }),
+        );
+    }
+
     fn run_action(self: &Rc<Self>, action: GatewayAction) {
         let (id, verdict) = match action {
             GatewayAction::SendToDesk { endpoint, message } => {
@@ -386,6 +406,10 @@
                     .write("evidence-invalid", json!({"entries": count}));
                 return;
             }
+            GatewayAction::ReportShares(shares) => {
+                self.report_shares(&shares);
+                return;
+            }
             GatewayAction::CloseDesk(endpoint) => {
                 self.log
                     .write("desk-silent", json!({"endpoint": endpoint.as_str()}));
@@ -413,10 +437,12 @@
                 request,
                 reason,
                 retry_after,
+                detail,
             } => {
                 let verdict = StartVerdict::Refuse {
                     reason,
                     retry_after,
+                    detail,
                 };
                 (request, verdict)
             }
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -403,7 +403,8 @@
             GatewayAction::CloseDesk(_)
             | GatewayAction::CheckEndpoint { .. }
             | GatewayAction::ReportPart(_)
-            | GatewayAction::ReportInvalid(_) => {}
+            | GatewayAction::ReportInvalid(_)
+            | GatewayAction::ReportShares(_) => {}
         }
     }
 
