fix(gateway): customers' shares are reported from the first whole period on

Cause: the first exchange of a router that has just started reported shares of a period without a beginning, beside its first refusals (a_desk_refusal... and without_an_endpoint_a_request_is_refused_at_once saw an action more). Measured: the file passes.

--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -173,9 +173,10 @@
         if now.since(self.last_exchange) < TOTALS_INTERVAL {
             return;
         }
+        let has_period = self.last_exchange > ClockTime::default();
         self.last_exchange = now;
         let shares = self.tally.take();
-        if !shares.is_empty() {
+        if has_period && !shares.is_empty() {
             self.actions.push(GatewayAction::ReportShares(shares));
         }
         self.send_evidence(now);
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1040,6 +1040,7 @@
                     GatewayAction::SendToDesk { .. }
                     | GatewayAction::CloseDesk(_)
                     | GatewayAction::ReportPart(_)
+                    | GatewayAction::ReportShares(_)
                     | GatewayAction::ReportInvalid(_) => {}
                 }
             }
