test(trial): customers of a router that reaches no engine lose their share (red)

The emulator judges shares as the users' rule does (six seconds, second by second, runs where they begin) and plays several floods, callers that reach few routers, hosts with little processor time and routers that reach no engine. The test of an unknown field names another one, as hosts is known now.

--- a/crates/trial/src/emulator/load_draw.rs
+++ b/crates/trial/src/emulator/load_draw.rs
@@ -63,8 +63,10 @@
         serial += 1;
         let number = (index as u64) << 48 | serial;
         calls.push(draw_call(load, (index, kind), customer, at, number, rng));
-        let flood = load.flood.as_ref().filter(|flood| {
-            flood.customer == customer && (flood.from_s..flood.from_s + flood.for_s).contains(&at)
+        let flood = load.floods.iter().find(|flood| {
+            flood.customer == customer
+                && flood.kind.as_ref().is_none_or(|name| *name == kind.name)
+                && (flood.from_s..flood.from_s + flood.for_s).contains(&at)
         });
         let copies = flood.map_or(0, |flood| flood.factor as u64);
         for _ in 1..copies {
@@ -102,7 +104,7 @@
         at: Duration::from_secs_f64(at),
         kind: index,
         customer,
-        router: draw_weighted(&load.fleet.router_weights, load.fleet.routers, rng),
+        router: draw_router(load, customer, rng),
         prompt: PromptShape {
             input: shared + own,
             output_limit: kind.output_tokens.most as u32,
@@ -137,6 +139,15 @@
     numbers.map_or(1.0, |numbers| numbers.sample(rng))
 }
 
+/// Draws the router that a request of a customer arrives at.
+fn draw_router(load: &LoadFile, customer: usize, rng: &mut StdRng) -> usize {
+    let (weights, count) = (&load.fleet.router_weights, load.fleet.routers);
+    match load.customers.routers {
+        Some(reached) => (customer * reached + rng.random_range(0..reached)) % count,
+        None => draw_weighted(weights, count, rng),
+    }
+}
+
 fn draw_weighted(weights: &[f64], count: usize, rng: &mut StdRng) -> usize {
     let weight = |index: usize| weights[index % weights.len()];
     let total: f64 = (0..count).map(weight).sum();
--- a/crates/trial/src/emulator/load_file.rs
+++ b/crates/trial/src/emulator/load_file.rs
@@ -12,8 +12,9 @@
     pub engine: EngineSettings,
     /// Numbers of processes and the network between them.
     pub fleet: FleetSettings,
-    /// A temporary burst of one customer's requests, if there is one.
-    pub flood: Option<FloodSettings>,
+    /// Temporary bursts, each of one customer's requests.
+    #[serde(default)]
+    pub floods: Vec<FloodSettings>,
     /// Number of customers and distribution of their requests.
     pub customers: CustomerSettings,
     /// Kinds of requests; at least one.
@@ -60,6 +61,39 @@
     pub zones: usize,
     /// One-way network delay between two processes, in microseconds.
     pub link_us: u64,
+    /// Processor time of the routers' hosts; unlimited if it is absent.
+    pub hosts: Option<HostSettings>,
+    /// Times in which routers reach no engine, although they reach the desks.
+    #[serde(default)]
+    pub cuts: Vec<CutSettings>,
+}
+
+/// A time in which a router reaches no engine.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CutSettings {
+    /// Index of the router.
+    pub router: usize,
+    /// Start, in seconds since the start of the load.
+    pub from_s: f64,
+    /// Duration, in seconds.
+    pub for_s: f64,
+    /// Time after which an attempt to connect fails, in milliseconds.
+    pub fails_ms: u64,
+}
+
+/// Processor time of routers and what their work takes of it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostSettings {
+    /// Part of a core that each router has; the list repeats if there are more routers.
+    pub cores: Vec<f64>,
+    /// Time to read, place and send a request, in microseconds of a core.
+    pub request_us: f64,
+    /// Time to refuse a request, in microseconds of a core.
+    pub refusal_us: f64,
+    /// Time to pass on an event of a stream, in microseconds of a core.
+    pub event_us: f64,
 }
 
 /// A temporary burst of one customer's requests.
@@ -68,6 +102,8 @@
 pub struct FloodSettings {
     /// Number of the customer, from 0.
     pub customer: usize,
+    /// Name of the kind of its requests; all kinds if it is absent.
+    pub kind: Option<String>,
     /// Multiple of the customer's usual request rate; the fraction is ignored.
     pub factor: f64,
     /// Start of the burst, in seconds since the start of the load.
@@ -84,6 +120,8 @@
     pub count: usize,
     /// Exponent of the Zipf distribution of requests over customers; 0 is uniform.
     pub skew: f64,
+    /// Number of routers that the callers of one customer reach; all routers if it is absent.
+    pub routers: Option<usize>,
 }
 
 /// One kind of request.
@@ -144,7 +182,7 @@
         field: &'static str,
     },
     /// The customer of the burst does not exist.
-    #[snafu(display("`flood.customer` is {customer}, and there are {count} customers"))]
+    #[snafu(display("`floods.customer` is {customer}, and there are {count} customers"))]
     NoSuchCustomer {
         /// Number in the file.
         customer: usize,
@@ -207,7 +245,7 @@
         for (field, value) in positive.into_iter().chain(kinds) {
             ensure!(value > 0.0, NotPositiveSnafu { field });
         }
-        if let Some(flood) = &self.flood {
+        for flood in &self.floods {
             let (customer, count) = (flood.customer, self.customers.count);
             ensure!(customer < count, NoSuchCustomerSnafu { customer, count });
         }
--- a/crates/trial/src/emulator/mod.rs
+++ b/crates/trial/src/emulator/mod.rs
@@ -20,10 +20,15 @@
 mod load_file;
 mod outcome_table;
 mod prefix_cache;
+mod share_check;
 mod virtual_fleet;
+mod virtual_host;
 
 pub use engine_model::{EngineEvent, EngineModel, EngineRequest};
 pub use load_draw::{DrawnCall, draw_load};
-pub use load_file::{EngineSettings, KindSettings, LoadError, LoadFile, SizeSettings};
+pub use load_file::{
+    CutSettings, EngineSettings, HostSettings, KindSettings, LoadError, LoadFile, SizeSettings,
+};
 pub use outcome_table::{CallOutcome, OutcomeTable, plot_outcomes};
+pub use share_check::ShareBreach;
 pub use virtual_fleet::{EmulatorOptions, emulate};
--- a/crates/trial/src/emulator/outcome_table.rs
+++ b/crates/trial/src/emulator/outcome_table.rs
@@ -9,6 +9,7 @@
 
 use super::load_draw::DrawnCall;
 use super::load_file::{EngineSettings, LoadFile};
+use super::share_check::{ShareBreach, compare_shares};
 use crate::report::percentile;
 
 /// Length of the windows over which credit is summed.
@@ -22,6 +23,8 @@
 pub struct CallOutcome {
     /// Time at which the caller first sent the request.
     pub sent: ClockTime,
+    /// Time at which an engine began to answer, as seen by its router.
+    pub begun_at: Option<ClockTime>,
     /// Time of the first event, if any arrived.
     pub first_event_at: Option<ClockTime>,
     last_event_at: Option<ClockTime>,
@@ -35,6 +38,10 @@
     pub is_refused: bool,
     /// Number of refusals.
     pub refusals: u32,
+    /// Times of the refusals.
+    pub refused_at: Vec<ClockTime>,
+    /// Time at which the caller had the last event, gave up or was refused for good.
+    pub ended_at: Option<ClockTime>,
 }
 
 /// Counts and credit of the requests of one kind, customer or window.
@@ -67,12 +74,18 @@
     pub prefilled_and_cached: (u64, u64),
     /// Upper bound of the ratio of earned to available credit, for any scheduling decisions.
     pub ceiling: f64,
+    /// Customers that got less than their share, by window.
+    pub share_breaches: Vec<ShareBreach>,
+    /// Least ratio of what a backlogged customer got in six seconds to what it asked or the best served one
+    /// got, whichever is less.
+    pub least_share: f64,
 }
 
 impl CallOutcome {
     pub(super) const fn new(sent: ClockTime) -> Self {
         Self {
             sent,
+            begun_at: None,
             first_event_at: None,
             last_event_at: None,
             longest_gap: Duration::ZERO,
@@ -80,6 +93,8 @@
             is_expired: false,
             is_refused: false,
             refusals: 0,
+            refused_at: Vec::new(),
+            ended_at: None,
         }
     }
 
@@ -94,6 +109,9 @@
         self.first_event_at.get_or_insert(now);
         self.last_event_at = Some(now);
         self.is_complete = is_last;
+        if is_last {
+            self.ended_at = Some(now);
+        }
     }
 }
 
@@ -120,6 +138,7 @@
         calls: &[DrawnCall],
         outcomes: Vec<CallOutcome>,
         prefilled_and_cached: (u64, u64),
+        start: ClockTime,
     ) -> Self {
         let names = load.kinds.iter().map(|kind| kind.name.clone());
         let mut kinds: Vec<(String, OutcomeRow)> =
@@ -140,6 +159,7 @@
                 .map(|first| first.since(outcome.sent));
             first_times[call.kind].extend(first);
         }
+        let shares = compare_shares(load, calls, &outcomes, start);
         Self {
             kinds,
             customers,
@@ -147,6 +167,8 @@
             first_event_times: first_times.into_iter().map(percentiles).collect(),
             prefilled_and_cached,
             ceiling: ceiling(load, calls),
+            share_breaches: shares.breaches,
+            least_share: shares.least_share,
         }
     }
 
@@ -265,12 +287,16 @@
             .fold(1.0, f64::min);
         writeln!(
             formatter,
-            "credit {:.3} of a ceiling of {:.3}; worst customer {:.3}, worst window {:.3}",
+            "credit {:.3} of a ceiling of {:.3}; worst customer {:.3}, worst window {:.3}, least share {:.2}",
             self.credit_ratio(),
             self.ceiling,
             self.worst_customer(),
-            worst_window
+            worst_window,
+            self.least_share
         )?;
+        for breach in &self.share_breaches {
+            writeln!(formatter, "share missed: {breach}")?;
+        }
         let (prefilled, cached) = self.prefilled_and_cached;
         write!(
             formatter,
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -15,8 +15,9 @@
 
 use super::engine_model::{EngineEvent, EngineModel, EngineRequest};
 use super::load_draw::{DrawnCall, draw_load};
-use super::load_file::LoadFile;
+use super::load_file::{CutSettings, LoadFile};
 use super::outcome_table::{CallOutcome, OutcomeTable};
+use super::virtual_host::{LAG_INTERVAL, RETRY_AFTER, VirtualHost};
 
 /// Virtual time at which the load begins. Not zero, because the core's state machines read time
 /// zero as "never".
@@ -54,6 +55,14 @@
 #[derive(Debug, Clone, PartialEq)]
 enum VirtualEvent {
     Arrive(usize),
+    /// The host of a call's router has read the request.
+    Submit(usize),
+    /// A call's router did not reach the engine that it was started on.
+    ConnectFailed(usize),
+    /// A router measures how late its timers are.
+    LagTimer(usize),
+    /// An event of a call's stream has been passed on; true for the last one.
+    PassedOn(usize, bool),
     /// The caller cancels the request if it has not ended.
     Deadline(usize),
     RouterWake(usize),
@@ -95,6 +104,8 @@
     /// Index of the engine that each call was last started on, if it was started.
     assigned_engines: Vec<Option<usize>>,
     routers: Vec<GatewayMachine>,
+    /// Hosts of the routers; empty if their processor time is unlimited.
+    hosts: Vec<VirtualHost>,
     engines: Vec<VirtualEngine>,
     /// Next wake-up time of each router and each desk. Queued wake-ups of other times are ignored.
     next_wakes: (Vec<ClockTime>, Vec<ClockTime>),
@@ -143,6 +154,7 @@
         &fleet.calls,
         fleet.outcomes,
         prefilled_and_cached,
+        START,
     ))
 }
 
@@ -190,6 +202,7 @@
             assigned_engines: vec![None; calls.len()],
             calls,
             routers: gateways.collect::<Result<_, String>>()?,
+            hosts: virtual_hosts(load, routers),
             engines: engines.collect(),
             next_wakes: (
                 vec![ClockTime::MAX; routers],
@@ -200,6 +213,9 @@
             now: START,
         };
         fleet.connect();
+        for router in 0..fleet.hosts.len() {
+            fleet.schedule(START + LAG_INTERVAL, VirtualEvent::LagTimer(router));
+        }
         for index in 0..fleet.calls.len() {
             let at = START + fleet.calls[index].at;
             let kind = &load.kinds[fleet.calls[index].kind];
@@ -242,7 +258,14 @@
     fn handle_event(&mut self, event: VirtualEvent) {
         let now = self.now;
         match event {
-            VirtualEvent::Arrive(call) => self.submit(call),
+            VirtualEvent::Arrive(call) => self.arrive(call),
+            VirtualEvent::Submit(call) => self.submit(call),
+            VirtualEvent::ConnectFailed(call) => self.retry(call),
+            VirtualEvent::LagTimer(router) => {
+                let next = self.hosts[router].measure(now);
+                self.schedule(next, VirtualEvent::LagTimer(router));
+            }
+            VirtualEvent::PassedOn(call, is_last) => self.deliver_event(call, is_last),
             VirtualEvent::Deadline(call) => self.expire_call(call),
             VirtualEvent::RouterWake(router) => {
                 if self.next_wakes.0[router] == now {
@@ -291,11 +314,44 @@
                 }
                 self.start_step(engine);
             }
-            VirtualEvent::StreamEvent(call, is_last) => self.deliver_event(call, is_last),
+            VirtualEvent::StreamEvent(call, is_last) => {
+                self.outcomes[call].begun_at.get_or_insert(now);
+                let router = self.calls[call].router;
+                match self.hosts.get_mut(router) {
+                    Some(host) => {
+                        let at = host.take_event(now);
+                        self.schedule(at, VirtualEvent::PassedOn(call, is_last));
+                    }
+                    None => self.deliver_event(call, is_last),
+                }
+            }
+        }
+    }
+
+    /// Has the host of a router read a request, or refuse it.
+    fn arrive(&mut self, call: usize) {
+        if self.hosts.is_empty() {
+            self.submit(call);
+            return;
+        }
+        let first = self.calls[call].router;
+        let routers = (0..self.hosts.len()).map(|offset| (first + offset) % self.hosts.len());
+        let mut in_rotation = routers.filter(|router| self.hosts[*router].is_in_rotation(self.now));
+        let router = in_rotation.next().unwrap_or(first);
+        self.calls[call].router = router;
+        let customer = CustomerId::new(self.calls[call].customer as u32 + 1);
+        let (at, is_admitted) = self.hosts[router].take_request(customer, self.now);
+        if is_admitted {
+            self.schedule(at, VirtualEvent::Submit(call));
+        } else {
+            self.refuse(call, RETRY_AFTER);
         }
     }
 
     fn submit(&mut self, call: usize) {
+        if self.outcomes[call].is_ended() {
+            return;
+        }
         let drawn = &self.calls[call];
         let kind = &self.load.kinds[drawn.kind];
         let customer = CustomerId::new(drawn.customer as u32 + 1);
@@ -317,6 +373,7 @@
             return;
         }
         self.outcomes[call].is_expired = true;
+        self.outcomes[call].ended_at = Some(self.now);
         let router = self.calls[call].router;
         self.routers[router].withdraw(RequestId::new(call as u64), self.now);
         if let Some(engine) = self.assigned_engines[call] {
@@ -348,6 +405,28 @@
         }
     }
 
+    /// Tries a call again that did not reach its engine.
+    fn retry(&mut self, call: usize) {
+        if self.outcomes[call].is_ended() {
+            return;
+        }
+        let (router, id) = (self.calls[call].router, RequestId::new(call as u64));
+        let machine = &mut self.routers[router];
+        let end = AttemptEnd::NotReached;
+        let next = machine.end(id, end, self.now);
+        let denied = next.is_none_or(|next| machine.retry(id, next, end, self.now).is_err());
+        if denied {
+            self.refuse(call, RETRY_AFTER);
+        }
+        self.drive_router(router);
+    }
+
+    fn find_cut(&self, router: usize) -> Option<&'a CutSettings> {
+        let at = self.now.since(START).as_secs_f64();
+        let mut cuts = self.load.fleet.cuts.iter();
+        cuts.find(|cut| cut.router == router && (cut.from_s..cut.from_s + cut.for_s).contains(&at))
+    }
+
     fn start_step(&mut self, engine: usize) {
         if self.engines[engine].is_stepping {
             return;
@@ -390,6 +469,11 @@
                 request, endpoint, ..
             } => {
                 let call = request.get() as usize;
+                if let Some(cut) = self.find_cut(router) {
+                    let fails_at = self.now + Duration::from_millis(cut.fails_ms);
+                    self.schedule(fails_at, VirtualEvent::ConnectFailed(call));
+                    return;
+                }
                 if let Some(engine) = self.engine_index(&endpoint) {
                     self.assigned_engines[call] = Some(engine);
                     self.schedule(self.now + self.link, VirtualEvent::ToEngine(engine, call));
@@ -414,14 +498,18 @@
         let kind = &self.load.kinds[self.calls[call].kind];
         let outcome = &mut self.outcomes[call];
         let remaining = (outcome.sent + kind.deadline()).since(self.now);
+        outcome.refused_at.push(self.now);
         if outcome.refusals == 0 && retry_after <= remaining / RETRY_WAIT_DIVISOR {
             outcome.refusals = 1;
-            let routers = self.routers.len();
-            self.calls[call].router = (self.calls[call].router + 1) % routers;
+            if self.hosts.is_empty() {
+                let routers = self.routers.len();
+                self.calls[call].router = (self.calls[call].router + 1) % routers;
+            }
             self.schedule(self.now + retry_after, VirtualEvent::Arrive(call));
         } else {
             outcome.refusals += 1;
             outcome.is_refused = true;
+            outcome.ended_at = Some(self.now);
         }
     }
 
@@ -451,6 +539,13 @@
     }
 }
 
+fn virtual_hosts(load: &LoadFile, routers: usize) -> Vec<VirtualHost> {
+    let settings = load.fleet.hosts.iter();
+    let hosts =
+        settings.flat_map(|settings| (0..routers).map(|index| VirtualHost::new(settings, index)));
+    hosts.collect()
+}
+
 fn serving_config(load: &LoadFile, service: &ServiceName) -> Result<ServingConfig, String> {
     let traits = ServiceTraits {
         health_path: "/".into(),
--- a/crates/trial/tests/emulator.rs
+++ b/crates/trial/tests/emulator.rs
@@ -115,7 +115,7 @@
 
 fn load_without_flood(seed: u64) -> (LoadFile, EmulatorOptions) {
     let mut load = load();
-    load.flood = None;
+    load.floods.clear();
     let options = EmulatorOptions {
         seed,
         length: Duration::from_secs(4),
@@ -147,11 +147,31 @@
 
 #[parameterized(
     no_slots = { "slots = 64", "slots = 0", "`engine.slots` must be above zero" },
-    another_customer = { "customer = 0", "customer = 16", "`flood.customer` is 16, and there are 16 customers" },
-    an_unknown_field = { "zones = 3", "zones = 3\nhosts = 1", "unknown field `hosts`" },
+    another_customer = { "customer = 0", "customer = 16", "`floods.customer` is 16, and there are 16 customers" },
+    an_unknown_field = { "zones = 3", "zones = 3\nnodes = 1", "unknown field `nodes`" },
 )]
 fn an_invalid_load_is_rejected_with_the_faulty_field(from: &str, to: &str, expected: &str) {
     let result: Result<LoadFile, _> = LENDING.replace(from, to).parse();
     let problem = result.expect_err("the load is invalid").to_string();
     assert!(problem.contains(expected), "{problem}");
 }
+
+/// Each connection that the cut-off router fails to open is a run that was granted and did not begin.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_4 = { 4 },
+)]
+fn a_customer_is_not_charged_for_runs_that_never_begin_and_keeps_its_share(seed: u64) {
+    let load: LoadFile = include_str!("../loads/flooded.toml")
+        .parse()
+        .expect("flooded.toml is a valid load");
+    let options = EmulatorOptions {
+        seed,
+        length: Duration::from_secs(16),
+        ..EmulatorOptions::default()
+    };
+    let table = emulate(&load, &options).expect("the core accepts the fleet");
+    assert!(table.share_breaches.is_empty(), "{table}");
+    assert!(table.least_share >= 0.5, "{table}");
+}
