fix(desk): a run that ends before its first event is not counted as usage

What callers saw: a customer was refused while others were served, though its requests did not run. Cause: desks and routers charge a request when it is granted; a run that never began (connection refused, endpoint gone, router cut off, caller gone) stayed charged in full, and each repetition again, so that its customer went last at all desks for seconds. Class: usage that counts what was granted, not what was received. Change: a run that ends before its first event is given back, at the desk and at its router, with the decay since the charge.

--- a/crates/cicadalock-core/src/desk/customer_meter.rs
+++ b/crates/cicadalock-core/src/desk/customer_meter.rs
@@ -43,6 +43,27 @@
         };
     }
 
+    /// Takes back a cost that was charged at `charged_at`, as the request did not run.
+    pub fn refund(
+        &mut self,
+        customer: CustomerId,
+        link: LinkId,
+        (cost, charged_at): (f64, ClockTime),
+        now: ClockTime,
+    ) {
+        let charged = DecayingCost {
+            cost,
+            at: charged_at,
+        };
+        let links = self.customers.get_mut(&customer);
+        if let Some(entry) = links.and_then(|links| links.get_mut(&link)) {
+            *entry = DecayingCost {
+                cost: (entry.at(now) - charged.at(now)).max(0.0),
+                at: now,
+            };
+        }
+    }
+
     /// Replaces a customer's usage through `link`.
     pub fn set(&mut self, customer: CustomerId, link: LinkId, cost: f64, now: ClockTime) {
         *self.entry(customer, link, now) = DecayingCost { cost, at: now };
--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -148,13 +148,13 @@
                 let key = key(link, notice);
                 // The grant may have been sent before the withdrawal arrived.
                 if !self.desk.withdraw(key) {
-                    self.desk.end(key, now);
+                    self.end_run(key, now);
                 }
                 self.forget_request(link);
             }
             DeskMessage::FirstEvent(notice) => self.desk.first_event(key(link, notice), now),
             DeskMessage::End(notice) => {
-                self.desk.end(key(link, notice), now);
+                self.end_run(key(link, notice), now);
                 self.forget_request(link);
             }
             DeskMessage::Totals(totals) => self.handle_totals(link, &totals, now),
@@ -177,8 +177,7 @@
         }
         self.meter.drop_link(link);
         self.broker.drop_link(link);
-        self.desk.remove_waiting(link);
-        self.desk.gate_mut().drop_link(link, now);
+        self.desk.drop_link(link, now);
     }
 
     /// Returns when [`take_actions`](Self::take_actions) is next due; `None` without routers.
@@ -275,6 +274,14 @@
         }
     }
 
+    /// Ends a run, and gives back what was charged for it if it ended before its first event.
+    fn end_run(&mut self, key: RunKey, now: ClockTime) {
+        if let Some(charge) = self.desk.end(key, now) {
+            let cost = (charge.cost as f64, charge.charged_at);
+            self.meter.refund(charge.customer, key.0, cost, now);
+        }
+    }
+
     /// Stores the customers' usage through a router; replies with the sums over all routers if it
     /// wants them.
     fn handle_totals(&mut self, link: LinkId, totals: &DeskTotals, now: ClockTime) {
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -3,6 +3,7 @@
 use super::customer_meter::CustomerMeter;
 use super::endpoint_gate::{EndpointGate, GateLimits, RequestDemand};
 use super::wait_queue::WaitQueue;
+use crate::collect::SortedMap;
 use crate::id::{CustomerId, LinkId, RequestId};
 use crate::place::PrefillRate;
 use crate::time::ClockTime;
@@ -75,6 +76,19 @@
     gate: EndpointGate,
     queue: WaitQueue,
     rate: PrefillRate,
+    /// What was charged for the requests that have started but not begun to answer.
+    charges: SortedMap<RunKey, RunCharge>,
+}
+
+/// Charge to a customer for a request that was started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunCharge {
+    /// Customer that was charged.
+    pub customer: CustomerId,
+    /// The charge, in cost units.
+    pub cost: u64,
+    /// When it was charged.
+    pub charged_at: ClockTime,
 }
 
 impl DeskAsk {
@@ -117,6 +131,7 @@
             gate: EndpointGate::new(limits),
             queue: WaitQueue::default(),
             rate: PrefillRate::default(),
+            charges: SortedMap::new(),
         }
     }
 
@@ -227,6 +242,14 @@
             self.gate
                 .start(key, prefill_work(&ask, rate), ask.units, now);
             meter.charge(ask.customer, key.0, ask.cost as f64, now);
+            self.charges.insert(
+                key,
+                RunCharge {
+                    customer: ask.customer,
+                    cost: ask.cost,
+                    charged_at: now,
+                },
+            );
             admitted.push(key);
         }
         admitted
@@ -281,14 +304,26 @@
 
     /// Records that a request's prefill is done and updates the prefill rate from it.
     pub fn first_event(&mut self, key: RunKey, now: ClockTime) {
+        self.charges.remove(&key);
         if let Some((units, took)) = self.gate.finish_prefill(key, now) {
             self.rate.observe(units, took);
         }
     }
 
     /// Records that a request is no longer at the endpoint.
-    pub fn end(&mut self, key: RunKey, now: ClockTime) {
+    ///
+    /// Returns what was charged for it here if it ended before its first event: it did not get what its
+    /// customer was charged for.
+    pub fn end(&mut self, key: RunKey, now: ClockTime) -> Option<RunCharge> {
         self.gate.end(key, now);
+        self.charges.remove(&key)
+    }
+
+    /// Records that a router is gone, with its waiting and running requests.
+    pub fn drop_link(&mut self, link: LinkId, now: ClockTime) {
+        self.remove_waiting(link);
+        self.charges.retain(|(owner, _), _| *owner != link);
+        self.gate.drop_link(link, now);
     }
 
     /// Expected wait of a request: the prefill in progress, and the requests queued before it, or the
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -42,7 +42,7 @@
 pub use customer_meter::CustomerMeter;
 pub use customer_usage::{CustomerUsage, UsageComparison};
 pub use desk_machine::{DeskAction, DeskMachine};
-pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunKey};
+pub use endpoint_desk::{DeskAsk, DeskRefusal, DeskState, EndpointDesk, RunCharge, RunKey};
 pub(crate) use endpoint_gate::DEFAULT_PAUSE;
 pub use endpoint_gate::{EndpointGate, GateLimits, RequestDemand};
 pub use limit_broker::LimitBroker;
--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -150,6 +150,12 @@
         !matches!(self, Self::NotReached | Self::EndpointLeft)
     }
 
+    /// Returns whether the endpoint answered the request, be it with a failure.
+    #[must_use]
+    pub const fn has_answered(self) -> bool {
+        matches!(self, Self::Complete | Self::CompleteUnframed | Self::Failed)
+    }
+
     /// Returns whether the request is known not to have run.
     #[must_use]
     pub const fn is_not_run(self) -> bool {
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -334,6 +334,15 @@
             }
             self.send_to_desk(&endpoint, DeskMessage::End(desk_notice(id)));
         }
+        if let GatewayPhase::Running {
+            started,
+            begun: None,
+        } = request.phase
+            && !end.has_answered()
+        {
+            let cost = (request.ask.cost as f64, started);
+            self.meter.refund(request.ask.customer, OWN_LINK, cost, now);
+        }
         self.record_evidence(&request, end, now);
         let mut call = request.call;
         call.tried.push(endpoint);
--- a/crates/cicadalock-core/tests/desk.rs
+++ b/crates/cicadalock-core/tests/desk.rs
@@ -15,6 +15,7 @@
 use cicadalock_core::time::ClockTime;
 use proptest::prelude::*;
 use support::seeded;
+use yare::parameterized;
 
 const SLOTS: u32 = 8;
 const MEMORY: u64 = 100_000;
@@ -574,3 +575,49 @@
         Some(6)
     );
 }
+
+/// Each case: how a granted run of customer 1 ends, and whether it goes before customer 2, which has received
+/// a little.
+#[parameterized(
+    before_its_first_event = { false, true },
+    after_its_first_event = { true, false },
+)]
+fn a_run_that_ends_before_its_first_event_does_not_count_as_usage(has_begun: bool, is_first: bool) {
+    let mut desk = DeskMachine::new();
+    let (one, other) = (LinkId::new(1), LinkId::new(2));
+    let now = ClockTime::from_millis(10_000);
+    for link in [one, other] {
+        let hello = DeskHello {
+            slots: 1,
+            memory: MEMORY,
+            pause_ms: 400,
+            ..DeskHello::default()
+        };
+        desk.receive(link, DeskMessage::Hello(hello), now);
+    }
+    let ask = |request, customer, cost, received| {
+        DeskMessage::Ask(DeskAskFrame {
+            request,
+            customer,
+            cost,
+            latest_ms: 5_000,
+            until_ms: 5_000,
+            received,
+            ..DeskAskFrame::default()
+        })
+    };
+    let notice = |request| DeskNotice { request };
+    desk.receive(one, ask(1, 1, 5_000, 0.0), now);
+    assert_eq!(grants(&desk.take_actions(now)), [(1, 1)]);
+    if has_begun {
+        desk.receive(one, DeskMessage::FirstEvent(notice(1)), now);
+    }
+    desk.receive(one, DeskMessage::End(notice(1)), now);
+    desk.receive(other, ask(2, 3, 1, 0.0), now);
+    assert_eq!(grants(&desk.take_actions(now)), [(2, 2)]);
+    desk.receive(other, ask(3, 1, 100, 0.0), now);
+    desk.receive(other, ask(4, 2, 100, 100.0), now);
+    desk.receive(other, DeskMessage::End(notice(2)), now);
+    let first = if is_first { 3 } else { 4 };
+    assert_eq!(grants(&desk.take_actions(now)), [(2, first)]);
+}
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1200,3 +1200,38 @@
     machine.set_config_version(4, 1, at(21_000));
     assert!(machine.is_config_current(at(21_000)));
 }
+
+/// Each case: how the run ends, and the usage that the router reports for its customer.
+#[parameterized(
+    not_reached = { AttemptEnd::NotReached, false },
+    broken_before_its_first_event = { AttemptEnd::Broken, false },
+    abandoned_before_its_first_event = { AttemptEnd::Abandoned, false },
+    answered_with_a_failure = { AttemptEnd::Failed, true },
+)]
+fn a_run_that_never_began_is_taken_back_from_the_usage_that_a_router_reports(
+    end: AttemptEnd,
+    is_charged: bool,
+) {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.receive_desk_message(&endpoint(0), desk_state(0), at(0));
+    let mut large = call(at(0), true);
+    large.prompt = Some(PromptShape {
+        input: 5_000,
+        ..PromptShape::default()
+    });
+    machine.submit(RequestId::new(1), large, at(0));
+    machine.take_actions(at(0));
+    let grant = DeskMessage::Grant(DeskNotice { request: 1 });
+    machine.receive_desk_message(&endpoint(0), grant, at(1));
+    assert_eq!(started(machine.take_actions(at(1))).len(), 1);
+    machine.end(RequestId::new(1), end, at(3));
+    let actions = machine.take_actions(at(1_500));
+    let totals = actions.iter().find_map(|action| match action {
+        GatewayAction::SendToDesk {
+            message: DeskMessage::Totals(totals),
+            ..
+        } => Some(totals.lines.len()),
+        _ => None,
+    });
+    assert_eq!(totals, Some(usize::from(is_charged)));
+}
