fix(gateway): a host that cannot keep up serves what it can, every customer up to the same rate

Cause: while the lag of timers was over 150 ms, everything was refused, before any order of customers saw it. Class: a refusal outside the order that is meant to be fair. Change: the admitted fraction shrinks and grows with the readings, and the customers that ask for most are refused first.

--- a/crates/cicadalock-core/src/gateway/host_admission.rs
+++ b/crates/cicadalock-core/src/gateway/host_admission.rs
@@ -5,15 +5,19 @@
 use crate::id::CustomerId;
 use crate::time::ClockTime;
 
-/// Factor by which the admitted fraction of requests shrinks with each reading during an overload.
-const DECREASE: f64 = 0.6;
+/// Factors by which the admitted fraction of requests shrinks with each reading during an overload: at first,
+/// and below [`SLOW_FRACTION`].
+const DECREASES: (f64, f64) = (0.6, 0.95);
+
+/// Fraction of requests below which it shrinks slowly, as work that was admitted before keeps the host busy for
+/// a second or two.
+const SLOW_FRACTION: f64 = 0.4;
 
 /// Fraction of requests by which the admitted part grows with each reading after it.
 const INCREASE: f64 = 0.1;
 
-/// Least fraction of requests that is admitted: streams that run keep a host busy for a second or two, but
-/// never all of it.
-const MIN_FRACTION: f64 = 0.1;
+/// Least fraction of requests that is admitted.
+const MIN_FRACTION: f64 = 0.05;
 
 /// Timer lag below which an overload is over; a CPU quota stops a process for about as long.
 const RELAXED_LAG: Duration = Duration::from_millis(100);
@@ -72,7 +76,12 @@
     pub fn record(&mut self, lag: Duration, now: ClockTime) {
         self.meter.record(lag, now);
         if self.meter.is_behind() {
-            self.fraction = (self.fraction * DECREASE).max(MIN_FRACTION);
+            let decrease = if self.fraction > SLOW_FRACTION {
+                DECREASES.0
+            } else {
+                DECREASES.1
+            };
+            self.fraction = (self.fraction * decrease).max(MIN_FRACTION);
         } else if lag < RELAXED_LAG {
             self.fraction = (self.fraction + INCREASE).min(1.0);
         }
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -215,18 +215,6 @@
     let Some(route) = config.routes().find(host, parts.uri.path()).cloned() else {
         return Err(CallerRefusal::client_error(404, "no-route"));
     };
-    if shared.is_behind() {
-        let customer = fields
-            .token
-            .as_deref()
-            .and_then(|token| config.customer(token));
-        if let Some(customer) = customer {
-            let cost = fields.prompt.as_ref().map_or(1, PromptShape::cost);
-            let mut machine = shared.machine.borrow_mut();
-            machine.record_host_refusal(CustomerId::of(customer), cost);
-        }
-        return Err(CallerRefusal::not_run("host-behind", DEFAULT_RETRY_AFTER));
-    }
     let customer = if config.has_customers() && !route.is_public {
         if !shared.is_token_data_fresh() {
             return Err(CallerRefusal::not_run(
@@ -251,6 +239,13 @@
     } else {
         None
     };
+    let customer_id = customer.as_ref().map_or(CustomerId::new(0), CustomerId::of);
+    if !shared.admits(customer_id) {
+        let cost = fields.prompt.as_ref().map_or(1, PromptShape::cost);
+        let mut machine = shared.machine.borrow_mut();
+        machine.record_host_refusal(customer_id, cost);
+        return Err(CallerRefusal::not_run("host-behind", DEFAULT_RETRY_AFTER));
+    }
     Ok(RequestContext {
         config,
         route,
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::gateway::{
-    AttemptEnd, CustomerShare, GatewayAction, GatewayMachine, LagMeter, RefusalDetail,
+    AttemptEnd, CustomerShare, GatewayAction, GatewayMachine, HostAdmission, RefusalDetail,
     RefusalReason,
 };
 use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
@@ -80,7 +80,7 @@
     is_waiting_for_config: Cell<bool>,
     /// Whether the number of callers' connections is close to its limit.
     pub(super) is_near_connection_limit: Cell<bool>,
-    lag: Cell<LagMeter>,
+    host: RefCell<HostAdmission>,
     suspension: Cell<SuspensionGuard>,
     /// Notified after each read of the store.
     store_read: Notify,
@@ -111,7 +111,7 @@
             is_stopping: Cell::new(false),
             is_waiting_for_config: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
-            lag: Cell::new(LagMeter::default()),
+            host: RefCell::new(HostAdmission::default()),
             suspension: Cell::new(SuspensionGuard::new(clock.now())),
             store_read: Notify::new(),
             waiters: RefCell::new(SortedMap::new()),
@@ -160,13 +160,13 @@
     /// Returns whether callers should open their next connection to another host: while the process
     /// stops, is close to its connection limit, or is overloaded or was until shortly before.
     pub(super) fn should_shed_connections(&self) -> bool {
-        let is_recovering = self.lag.get().is_recovering(self.now());
+        let is_recovering = self.host.borrow().is_recovering(self.now());
         self.is_stopping.get() || self.is_near_connection_limit.get() || is_recovering
     }
 
-    /// Returns whether the process is overloaded and has to refuse new requests.
-    pub(super) fn is_behind(&self) -> bool {
-        self.lag.get().is_behind()
+    /// Counts a request of a customer, and returns whether the host can keep up with it.
+    pub(super) fn admits(&self, customer: CustomerId) -> bool {
+        self.host.borrow_mut().admits(customer, self.now())
     }
 
     /// Measures the runtime's timer lag until dropped.
@@ -177,20 +177,24 @@
             self.check_suspension();
             let now = self.now();
             let lag = now.since(due);
-            let was_behind = self.is_behind();
-            let mut meter = self.lag.get();
-            meter.record(lag, now);
-            self.lag.set(meter);
+            let (was_behind, is_behind, admitted) = {
+                let mut host = self.host.borrow_mut();
+                let was_behind = host.is_limited();
+                host.record(lag, now);
+                (was_behind, host.is_limited(), host.fraction())
+            };
             self.machine.borrow_mut().record_lag(lag, now);
             self.metrics.lag.observe(lag.as_secs_f64());
-            if self.is_behind() != was_behind {
+            if is_behind != was_behind {
                 let event = if was_behind {
                     "host-caught-up"
                 } else {
                     "host-behind"
                 };
-                self.log
-                    .write(event, json!({"lag_ms": lag.as_millis() as u64}));
+                self.log.write(
+                    event,
+                    json!({"lag_ms": lag.as_millis() as u64, "admitted": admitted}),
+                );
             }
         }
     }
