--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -438,10 +438,7 @@
     fn add_crash_part(&mut self, style: CrashStyle) {
         self.crash_parts += 1;
         let rules: Vec<CrashRule> = (1..=self.crash_parts)
-            .map(|number| CrashRule {
-                part: crash_part_text(number),
-                style,
-            })
+            .map(|number| CrashRule::part(&crash_part_text(number), style))
             .collect();
         for endpoint in &self.endpoints {
             endpoint.crash_on(&rules);
