--- a/crates/cicadalock-core/src/gateway/action.rs
+++ b/crates/cicadalock-core/src/gateway/action.rs
@@ -38,8 +38,8 @@
         /// Address on which the endpoint listens.
         address: SocketAddr,
     },
-    /// Report that a part of prompts is refused from now on, or no longer.
-    ReportPart(GuardChange),
+    /// Report that a part of prompts or a request is refused from now on, or no longer.
+    ReportSuspect(GuardChange),
     /// Report that this number of entries of evidence from other routers are not valid.
     ReportInvalid(usize),
     /// Close the connection to a desk that stopped answering.
@@ -81,6 +81,8 @@
     NoRoomInTime,
     /// A part of the prompt crashes endpoints.
     CrashingPart,
+    /// The request itself crashes endpoints.
+    CrashingRequest,
 }
 
 /// Why a failed request is not retried.
@@ -106,13 +108,14 @@
             Self::NoEndpoint => "no-endpoint",
             Self::NoRoomInTime => "no-room-in-time",
             Self::CrashingPart => "crashing-part",
+            Self::CrashingRequest => "crashing-request",
         }
     }
 
     /// Returns whether the same request would be refused again.
     #[must_use]
     pub const fn is_final(self) -> bool {
-        matches!(self, Self::CrashingPart)
+        matches!(self, Self::CrashingPart | Self::CrashingRequest)
     }
 }
 
--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use crate::id::{CustomerId, EndpointId, RequestId, ServiceName};
+use crate::id::{CustomerId, EndpointId, RequestDigest, RequestId, ServiceName};
+use crate::quarantine::Suspect;
 use crate::serving::PromptShape;
 use crate::time::ClockTime;
 
@@ -25,7 +26,9 @@
     pub may_retry: bool,
     /// Largest number of endpoints to which the request may be sent.
     pub max_attempts: u32,
-    /// Whether the request tries a part of prompts that is refused otherwise.
+    /// What an endpoint may crash on: the shared parts of the prompt, and the request itself.
+    pub suspects: Vec<Suspect>,
+    /// Whether the request tries what is refused otherwise.
     pub is_trial: bool,
     /// Endpoints that had no room for the request within their limit.
     pub passed_over: Vec<EndpointId>,
@@ -82,6 +85,7 @@
                 service,
                 customer,
                 prompt: None,
+                suspects: Vec::new(),
                 arrived,
                 objective: Duration::from_secs(1),
                 pause: None,
@@ -108,10 +112,21 @@
     /// Sets the prompt; `None` for requests without one.
     #[must_use]
     pub fn prompt(mut self, prompt: Option<PromptShape>) -> Self {
+        let shared = prompt.iter().flat_map(PromptShape::shared);
+        self.call
+            .suspects
+            .splice(0..0, shared.map(|part| part.id.into()));
         self.call.prompt = prompt;
         self
     }
 
+    /// Sets the digest by which the request is known if its caller sends it again.
+    #[must_use]
+    pub fn digest(mut self, digest: RequestDigest) -> Self {
+        self.call.suspects.push(digest.into());
+        self
+    }
+
     /// Sets the longest time to the first event and the longest pause that count as on time.
     #[must_use]
     pub const fn objective(mut self, objective: Duration, pause: Option<Duration>) -> Self {
--- a/crates/cicadalock-core/src/gateway/crash_evidence.rs
+++ b/crates/cicadalock-core/src/gateway/crash_evidence.rs
@@ -5,8 +5,7 @@
 use super::machine::{GatewayMachine, GatewayPhase, GatewayRequest};
 use crate::id::{EndpointId, RequestId, ServiceName};
 use crate::message::{DeskMessage, EvidenceFrame};
-use crate::quarantine::{PartGuard, SURVIVAL_TIME};
-use crate::serving::PromptShape;
+use crate::quarantine::{CrashGuard, SURVIVAL_TIME, Suspect};
 use crate::time::ClockTime;
 
 /// Number of desks that pass on each piece of evidence; the next ones follow a second later.
@@ -23,15 +22,15 @@
 
     /// Returns what is known of parts of prompts that crash endpoints.
     #[must_use]
-    pub const fn guard(&self) -> &PartGuard {
+    pub const fn guard(&self) -> &CrashGuard {
         &self.guard
     }
 
-    /// Returns whether a request must not be sent because a part of its prompt crashes endpoints.
+    /// Returns whether a request must not be sent because it, or a part of its prompt, crashes endpoints.
     #[must_use]
     pub fn is_refused(&self, request: RequestId) -> bool {
         let request = self.requests.get(&request);
-        request.is_some_and(|request| self.is_call_refused(&request.call))
+        request.is_some_and(|request| self.crash_refusal(&request.call).is_some())
     }
 
     /// Records that the answer of a request goes on: after a while it speaks for the parts of its
@@ -45,12 +44,12 @@
             begun: Some(begun),
         } = request.phase
             && now.since(begun) >= SURVIVAL_TIME
-            && let Some(prompt) = &request.call.prompt
         {
+            let suspects = &request.call.suspects;
             self.guard
                 .record_answer(&request.plan.endpoint, started, now);
             self.guard
-                .record_sound(&request.call.service, prompt, begun, now);
+                .record_sound(&request.call.service, suspects, begun, now);
         }
     }
 
@@ -67,21 +66,21 @@
         self.share_news(now);
     }
 
-    /// Returns whether no part of the prompt is refused, or the request may try one that is.
-    pub(super) fn admits_prompt(&mut self, call: &mut GatewayCall, now: ClockTime) -> bool {
-        let Some(prompt) = &call.prompt else {
-            return true;
-        };
-        if !self.guard.refuses(&call.service, prompt) {
-            return true;
-        }
-        call.is_trial = call.tried.is_empty() && self.guard.begin_trial(&call.service, prompt, now);
-        call.is_trial
+    /// Returns why the request is refused because of what crashes endpoints, unless it may try again.
+    pub(super) fn find_crash_refusal(
+        &mut self,
+        call: &mut GatewayCall,
+        now: ClockTime,
+    ) -> Option<RefusalReason> {
+        let suspect = self.guard.refused_suspect(&call.service, &call.suspects)?;
+        call.is_trial =
+            call.tried.is_empty() && self.guard.begin_trial(&call.service, &call.suspects, now);
+        (!call.is_trial).then(|| refusal_reason(suspect))
     }
 
-    fn is_call_refused(&self, call: &GatewayCall) -> bool {
-        let prompt = call.prompt.as_ref();
-        !call.is_trial && prompt.is_some_and(|prompt| self.guard.refuses(&call.service, prompt))
+    fn crash_refusal(&self, call: &GatewayCall) -> Option<RefusalReason> {
+        let suspect = self.guard.refused_suspect(&call.service, &call.suspects);
+        suspect.filter(|_| !call.is_trial).map(refusal_reason)
     }
 
     /// Records what the end of an attempt tells about the parts of its prompt.
@@ -101,19 +100,16 @@
             }
             return;
         }
-        let Some(prompt) = &request.call.prompt else {
-            return;
-        };
-        let service = &request.call.service;
+        let (service, suspects) = (&request.call.service, &request.call.suspects);
         match end {
             AttemptEnd::Complete => {
                 let begun = begun.unwrap_or(started);
                 self.guard.record_answer(endpoint, started, now);
-                self.guard.record_sound(service, prompt, begun, now);
+                self.guard.record_sound(service, suspects, begun, now);
             }
             AttemptEnd::CompleteUnframed | AttemptEnd::Broken => {
                 let is_whole = end == AttemptEnd::CompleteUnframed;
-                self.record_break(endpoint, service, prompt, (started, begun), is_whole, now);
+                self.record_break(endpoint, service, suspects, (started, begun), is_whole, now);
             }
             _ => {}
         }
@@ -123,14 +119,14 @@
         &mut self,
         endpoint: &EndpointId,
         service: &ServiceName,
-        prompt: &PromptShape,
+        suspects: &[Suspect],
         times: (ClockTime, Option<ClockTime>),
         is_whole: bool,
         now: ClockTime,
     ) {
         let must_check = self
             .guard
-            .record_break(endpoint, service, prompt, times, is_whole, now);
+            .record_break(endpoint, service, suspects, times, is_whole, now);
         if must_check {
             self.check(endpoint);
         }
@@ -154,22 +150,25 @@
         if changes.iter().any(|change| change.verdict.is_some()) {
             self.refuse_waiting(now);
         }
-        let reports = changes.into_iter().map(GatewayAction::ReportPart);
+        let reports = changes.into_iter().map(GatewayAction::ReportSuspect);
         self.actions.extend(reports);
         self.share_news(now);
     }
 
     fn refuse_waiting(&mut self, now: ClockTime) {
-        let waiting = self.requests.iter().filter(|(_, request)| {
+        let waiting = self.requests.iter().filter_map(|(id, request)| {
             let is_waiting = !matches!(request.phase, GatewayPhase::Running { .. });
-            is_waiting && self.is_call_refused(&request.call)
+            is_waiting
+                .then(|| self.crash_refusal(&request.call))
+                .flatten()
+                .map(|reason| (*id, reason))
         });
-        let waiting: Vec<RequestId> = waiting.map(|(id, _)| *id).collect();
-        for id in waiting {
+        let waiting: Vec<(RequestId, RefusalReason)> = waiting.collect();
+        for (id, reason) in waiting {
             let call = self.requests.get(&id).map(|request| request.call.clone());
             self.withdraw(id, now);
             if let Some(call) = call {
-                self.refuse_here(id, &call, RefusalReason::CrashingPart, Duration::ZERO);
+                self.refuse_here(id, &call, reason, Duration::ZERO);
             }
         }
     }
@@ -226,3 +225,10 @@
         }
     }
 }
+
+const fn refusal_reason(suspect: Suspect) -> RefusalReason {
+    match suspect {
+        Suspect::Part(_) => RefusalReason::CrashingPart,
+        Suspect::Request(_) => RefusalReason::CrashingRequest,
+    }
+}
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -11,7 +11,7 @@
 use crate::id::{CustomerId, EndpointId, LinkId, RequestId, ServiceName, ZoneName};
 use crate::message::{DeskMessage, DeskNotice};
 use crate::place::PrefixMemory;
-use crate::quarantine::PartGuard;
+use crate::quarantine::CrashGuard;
 use crate::retry::RetryWindow;
 use crate::serving::{EndpointList, ListingState, ServingConfig};
 use crate::time::ClockTime;
@@ -74,7 +74,7 @@
     /// When this router was last found to run late.
     pub(super) lagged_at: ClockTime,
     /// Keeps requests from endpoints that would crash on a part of their prompt.
-    pub(super) guard: PartGuard,
+    pub(super) guard: CrashGuard,
     /// Number of routers that a desk last told.
     pub(super) last_router_count: u32,
     /// Number of desks to which evidence was sent so far.
@@ -190,7 +190,7 @@
             last_exchange: ClockTime::default(),
             sums_requested: 0,
             lagged_at: ClockTime::default(),
-            guard: PartGuard::default(),
+            guard: CrashGuard::default(),
             last_router_count: 1,
             evidence_sent: 0,
             config_version: None,
@@ -457,8 +457,8 @@
 
     /// Places a request and queues it at the chosen endpoint's desk, or refuses it.
     pub(super) fn enqueue(&mut self, id: RequestId, mut call: GatewayCall, now: ClockTime) {
-        if !self.admits_prompt(&mut call, now) {
-            self.refuse_here(id, &call, RefusalReason::CrashingPart, Duration::ZERO);
+        if let Some(reason) = self.find_crash_refusal(&mut call, now) {
+            self.refuse_here(id, &call, reason, Duration::ZERO);
             return;
         }
         let Some(plan) = self.plan(&call, now) else {
--- a/crates/cicadalock-core/src/id/mod.rs
+++ b/crates/cicadalock-core/src/id/mod.rs
@@ -8,10 +8,12 @@
 //! # Ok::<(), cicadalock_core::id::NameError>(())
 //! ```
 
+mod digest;
 mod name;
 mod number;
 mod part;
 
+pub use digest::RequestDigest;
 pub use name::{CustomerName, EndpointId, HostName, KindName, NameError, ServiceName, ZoneName};
 pub use number::{
     CustomerId, FenceNumber, GrantId, Incarnation, KindId, LinkId, RequestId, Revision, StoreEra,
--- a/crates/cicadalock-core/src/message/desk.rs
+++ b/crates/cicadalock-core/src/message/desk.rs
@@ -317,20 +317,26 @@
     /// Ids of the parts of its prompt that other requests may share.
     #[prost(fixed64, repeated, tag = "2")]
     pub parts: Vec<u64>,
+    /// Digest of the request, 16 bytes; empty from routers that compute none.
+    #[prost(bytes = "vec", tag = "3")]
+    pub digest: Vec<u8>,
 }
 
-/// A part on which an endpoint wrote an answer without harm.
+/// A part or a request on which an endpoint wrote an answer without harm.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SoundFrame {
     /// Name of the endpoint's service.
     #[prost(string, tag = "1")]
     pub service: String,
-    /// Id of the part.
+    /// Id of the part; not used if there is a digest.
     #[prost(fixed64, tag = "2")]
     pub part: u64,
     /// Time since the answer began, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub begun_age_ms: u32,
+    /// Digest of the request that was answered, 16 bytes; empty if the answer is on a part.
+    #[prost(bytes = "vec", tag = "4")]
+    pub digest: Vec<u8>,
 }
 
 impl EvidenceFrame {
--- a/crates/cicadalock-core/src/quarantine/broken_attempts.rs
+++ b/crates/cicadalock-core/src/quarantine/broken_attempts.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
 use super::crash_report::SuspectRequest;
+use super::suspect::Suspect;
 use crate::collect::SortedMap;
-use crate::id::{EndpointId, PartId, ServiceName};
+use crate::id::{EndpointId, ServiceName};
 use crate::time::{ClockTime, PastTime};
 
 /// Time after a lost request within which its endpoint is found to have crashed, if it has.
@@ -133,7 +134,7 @@
 }
 
 impl BrokenAttempt {
-    pub(super) fn parts(&self) -> impl Iterator<Item = PartId> {
-        self.request.parts.iter().copied()
+    pub(super) fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        self.request.suspects.iter().copied()
     }
 }
--- a/crates/cicadalock-core/src/quarantine/part_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/crash_guard.rs
@@ -1,13 +1,14 @@
 use std::time::Duration;
 
 use super::broken_attempts::{BrokenAttempt, BrokenAttempts};
-use super::crash_report::{CrashReport, ReportId, SoundPart, SuspectRequest};
+use super::crash_report::{CrashReport, ReportId, SoundAnswer, SuspectRequest};
 use super::evidence_board::EvidenceBoard;
-use super::part_verdict::{NearVerdict, PartVerdict, VerdictTable};
+use super::recent_requests::RecentRequests;
 use super::sound_memory::SoundMemory;
-use crate::id::{EndpointId, PartId, ServiceName};
+use super::suspect::Suspect;
+use super::suspect_verdict::{NearVerdict, SuspectVerdict, VerdictTable};
+use crate::id::{EndpointId, ServiceName};
 use crate::message::EvidenceFrame;
-use crate::serving::PromptShape;
 use crate::time::{ClockTime, PastTime};
 
 /// Time that an answer has to go on to speak for the parts of its prompt.
@@ -45,20 +46,21 @@
     /// Service whose endpoints the part crashes.
     pub service: ServiceName,
     /// The part.
-    pub part: PartId,
+    pub suspect: Suspect,
     /// The evidence; `None` if the part is no longer refused.
-    pub verdict: Option<PartVerdict>,
+    pub verdict: Option<SuspectVerdict>,
 }
 
 /// Keeps requests from endpoints that would crash on a part of their prompt.
 ///
 /// One router's share of the evidence, with what the others reported.
 #[derive(Debug, Clone, Default)]
-pub struct PartGuard {
+pub struct CrashGuard {
     reporter: u64,
     reports_written: u32,
     broken: BrokenAttempts,
     memory: SoundMemory,
+    requests: RecentRequests,
     board: EvidenceBoard,
     verdicts: VerdictTable,
     changes: Vec<GuardChange>,
@@ -73,10 +75,10 @@
 #[derive(Debug, Clone)]
 enum OwnEvidence {
     Crash(CrashReport),
-    Sound(SoundPart),
+    Sound(SoundAnswer),
 }
 
-impl PartGuard {
+impl CrashGuard {
     /// Sets the random number under which this process reports.
     pub const fn set_reporter(&mut self, reporter: u64) {
         self.reporter = reporter;
@@ -88,10 +90,16 @@
         self.reporter as f64 / u64::MAX as f64
     }
 
-    /// Returns whether a request is to be refused because of a part of its prompt.
+    /// Returns whether a request is to be refused because of any of its `suspects`.
     #[must_use]
-    pub fn refuses(&self, service: &ServiceName, prompt: &PromptShape) -> bool {
-        self.refusing_part(service, prompt).is_some()
+    pub fn refuses(&self, service: &ServiceName, suspects: &[Suspect]) -> bool {
+        self.refused_suspect(service, suspects).is_some()
+    }
+
+    /// Returns which of its `suspects` a request is to be refused for.
+    #[must_use]
+    pub fn refused_suspect(&self, service: &ServiceName, suspects: &[Suspect]) -> Option<Suspect> {
+        self.refusing(service, suspects).map(|(suspect, _)| suspect)
     }
 
     /// Returns whether a request may be sent although it is refused, and records it.
@@ -101,10 +109,10 @@
     pub fn begin_trial(
         &mut self,
         service: &ServiceName,
-        prompt: &PromptShape,
+        suspects: &[Suspect],
         now: ClockTime,
     ) -> bool {
-        let Some(verdict) = self.refusing_part(service, prompt) else {
+        let Some((_, verdict)) = self.refusing(service, suspects) else {
             return false;
         };
         // The router that saw the last crash tries first; if it is gone, the one before, later.
@@ -124,16 +132,24 @@
         is_trial
     }
 
-    fn refusing_part(&self, service: &ServiceName, prompt: &PromptShape) -> Option<&PartVerdict> {
+    fn refusing(
+        &self,
+        service: &ServiceName,
+        suspects: &[Suspect],
+    ) -> Option<(Suspect, &SuspectVerdict)> {
         if self.verdicts.is_empty() {
             return None;
         }
-        let has = |part: &PartId| prompt.shared().iter().any(|shared| shared.id == *part);
-        let verdicts = prompt.shared().iter().filter_map(|part| {
-            let verdict = self.verdicts.get(&(service.clone(), part.id))?;
-            verdict.companions.iter().all(has).then_some(verdict)
+        let has = |other: &Suspect| suspects.contains(other);
+        let verdicts = suspects.iter().filter_map(|suspect| {
+            let verdict = self.verdicts.get(&(service.clone(), *suspect))?;
+            verdict
+                .companions
+                .iter()
+                .all(has)
+                .then_some((*suspect, verdict))
         });
-        verdicts.max_by_key(|verdict| verdict.span.1)
+        verdicts.max_by_key(|(_, verdict)| verdict.span.1)
     }
 
     /// Returns the parts that are refused now.
@@ -163,15 +179,17 @@
     pub fn record_sound(
         &mut self,
         service: &ServiceName,
-        prompt: &PromptShape,
+        suspects: &[Suspect],
         begun: ClockTime,
         now: ClockTime,
     ) {
-        for part in prompt.shared() {
-            self.memory.record(service, part.id, begun.into(), now);
-            if !self.verdicts.is_empty() && self.verdicts.contains_key(&(service.clone(), part.id))
+        for suspect in suspects {
+            self.remember_sound(service, *suspect, begun.into(), now);
+            if !self.verdicts.is_empty() && self.verdicts.contains_key(&(service.clone(), *suspect))
             {
                 self.news_at = now;
+                // The next suspect may be tried at once, as this one has done no harm.
+                self.last_trial = ClockTime::default();
             }
         }
     }
@@ -195,22 +213,21 @@
         &mut self,
         endpoint: &EndpointId,
         service: &ServiceName,
-        prompt: &PromptShape,
+        suspects: &[Suspect],
         times: (ClockTime, Option<ClockTime>),
         is_whole: bool,
         now: ClockTime,
     ) -> bool {
         let (started, begun) = times;
         let is_old = begun.is_some_and(|begun| now.since(begun) > SUSPECT_TIME);
-        if is_old || prompt.shared().is_empty() {
+        if is_old || suspects.is_empty() {
             return false;
         }
-        let parts = prompt.shared().iter().map(|part| part.id);
         let attempt = BrokenAttempt {
             service: service.clone(),
             request: SuspectRequest {
                 started: started.into(),
-                parts: parts.collect(),
+                suspects: suspects.to_vec(),
             },
             ended: now.into(),
             begun: begun.filter(|_| is_whole).map(PastTime::from),
@@ -284,10 +301,9 @@
         if now.since(self.news_at) > NEWS_TIME && !has_expired {
             return;
         }
-        let memory = &self.memory;
         let (verdicts, near) = self
             .board
-            .judge_all(now, |service, part| memory.last(service, part));
+            .judge_all(now, |service, suspect| self.last_sound(service, suspect));
         self.share_sound_parts(near);
         for (key, verdict) in verdicts.iter() {
             if !self.verdicts.contains_key(key) {
@@ -306,17 +322,17 @@
     fn share_sound_parts(&mut self, near: Vec<NearVerdict>) {
         for NearVerdict {
             service,
-            part,
+            suspect,
             started,
         } in near
         {
-            let own = self.memory.last(&service, part);
+            let own = self.last_sound(&service, suspect);
             let Some(begun) = own.filter(|own| *own >= started) else {
                 continue;
             };
-            let sound = SoundPart {
+            let sound = SoundAnswer {
                 service,
-                part,
+                suspect,
                 begun,
             };
             if self.board.add_sound(sound.clone()) {
@@ -325,11 +341,33 @@
         }
     }
 
+    fn remember_sound(
+        &mut self,
+        service: &ServiceName,
+        suspect: Suspect,
+        begun: PastTime,
+        now: ClockTime,
+    ) {
+        if suspect.is_request() {
+            self.requests.record(service, suspect, begun);
+        } else {
+            self.memory.record(service, suspect, begun, now);
+        }
+    }
+
+    fn last_sound(&self, service: &ServiceName, suspect: Suspect) -> Option<PastTime> {
+        if suspect.is_request() {
+            self.requests.last(service, suspect)
+        } else {
+            self.memory.last(service, suspect)
+        }
+    }
+
     fn remember_survivors(&mut self, survived: Vec<BrokenAttempt>, now: ClockTime) {
         for attempt in survived {
-            for part in attempt.parts() {
+            for suspect in attempt.suspects() {
                 if let Some(begun) = attempt.begun {
-                    self.memory.record(&attempt.service, part, begun, now);
+                    self.remember_sound(&attempt.service, suspect, begun, now);
                     self.news_at = now;
                 }
             }
@@ -360,19 +398,19 @@
     }
 }
 
-/// Returns the time after the last crash for which a part is refused without exception.
-fn refusal_time(verdict: &PartVerdict) -> Duration {
-    if !verdict.was_sound {
+/// Returns the time after the last crash for which a suspect is refused without exception.
+fn refusal_time(verdict: &SuspectVerdict) -> Duration {
+    if !verdict.was_sound && verdict.rivals == 0 {
         return REFUSAL_TIME;
     }
     let growth = REFUSAL_GROWTH.saturating_pow(verdict.pauses.min(8));
     (SOUND_REFUSAL_TIME * growth).min(REFUSAL_TIME)
 }
 
-fn guard_change(key: &(ServiceName, PartId), verdict: Option<PartVerdict>) -> GuardChange {
+fn guard_change(key: &(ServiceName, Suspect), verdict: Option<SuspectVerdict>) -> GuardChange {
     GuardChange {
         service: key.0.clone(),
-        part: key.1,
+        suspect: key.1,
         verdict,
     }
 }
--- a/crates/cicadalock-core/src/quarantine/crash_report.rs
+++ b/crates/cicadalock-core/src/quarantine/crash_report.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use crate::id::{EndpointId, NameError, PartId, ServiceName};
+use super::suspect::Suspect;
+use crate::id::{EndpointId, NameError, PartId, RequestDigest, ServiceName};
 use crate::message::{CrashFrame, SoundFrame, SuspectFrame};
 use crate::time::{ClockTime, PastTime};
 
@@ -21,8 +22,9 @@
 pub struct SuspectRequest {
     /// When the request was sent to the endpoint.
     pub started: PastTime,
-    /// The parts of its prompt that other requests may share.
-    pub parts: Vec<PartId>,
+    /// What it may have crashed the endpoint by: the parts of its prompt that other requests may share,
+    /// and the request itself.
+    pub suspects: Vec<Suspect>,
 }
 
 /// A crash of an endpoint as one router saw it.
@@ -40,13 +42,13 @@
     pub requests: Vec<SuspectRequest>,
 }
 
-/// A part on which an endpoint has written an answer without harm.
+/// An answer that did no harm to the endpoint that wrote it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SoundPart {
+pub struct SoundAnswer {
     /// Service of the endpoint.
     pub service: ServiceName,
-    /// The part.
-    pub part: PartId,
+    /// Part of its prompt, or the request itself.
+    pub suspect: Suspect,
     /// When the answer began.
     pub begun: PastTime,
 }
@@ -80,7 +82,7 @@
         let past = |age_ms: u32| PastTime::from_age(now, Duration::from_millis(age_ms.into()));
         let requests = frame.requests.into_iter().map(|request| SuspectRequest {
             started: past(request.started_age_ms),
-            parts: request.parts.into_iter().map(PartId::new).collect(),
+            suspects: decode_suspects(&request.parts, &request.digest),
         });
         let id = ReportId {
             reporter: frame.reporter,
@@ -100,7 +102,18 @@
     pub fn to_frame(&self, now: ClockTime) -> CrashFrame {
         let requests = self.requests.iter().map(|request| SuspectFrame {
             started_age_ms: age_millis(request.started, now),
-            parts: request.parts.iter().map(|part| part.get()).collect(),
+            parts: request
+                .suspects
+                .iter()
+                .copied()
+                .filter_map(part_number)
+                .collect(),
+            digest: request
+                .suspects
+                .iter()
+                .copied()
+                .find_map(digest_bytes)
+                .unwrap_or_default(),
         });
         CrashFrame {
             reporter: self.id.reporter,
@@ -113,7 +126,7 @@
     }
 }
 
-impl SoundPart {
+impl SoundAnswer {
     /// Decodes what a peer sent.
     ///
     /// # Errors
@@ -123,17 +136,19 @@
         let age = Duration::from_millis(frame.begun_age_ms.into());
         Ok(Self {
             service: frame.service.parse()?,
-            part: PartId::new(frame.part),
+            suspect: decode_digest(&frame.digest)
+                .map_or_else(|| PartId::new(frame.part).into(), Suspect::from),
             begun: PastTime::from_age(now, age),
         })
     }
 
-    /// Encodes the part for a peer.
+    /// Encodes the answer for a peer.
     #[must_use]
     pub fn to_frame(&self, now: ClockTime) -> SoundFrame {
         SoundFrame {
             service: self.service.to_string(),
-            part: self.part.get(),
+            part: part_number(self.suspect).unwrap_or_default(),
+            digest: digest_bytes(self.suspect).unwrap_or_default(),
             begun_age_ms: age_millis(self.begun, now),
         }
     }
@@ -142,3 +157,29 @@
 fn age_millis(time: PastTime, now: ClockTime) -> u32 {
     u32::try_from(time.age(now).as_millis()).unwrap_or(u32::MAX)
 }
+
+const fn part_number(suspect: Suspect) -> Option<u64> {
+    match suspect {
+        Suspect::Part(part) => Some(part.get()),
+        Suspect::Request(_) => None,
+    }
+}
+
+fn digest_bytes(suspect: Suspect) -> Option<Vec<u8>> {
+    match suspect {
+        Suspect::Part(_) => None,
+        Suspect::Request(digest) => Some(digest.bytes().to_vec()),
+    }
+}
+
+/// Decodes a digest; a text of another length, such as none, is no digest.
+fn decode_digest(bytes: &[u8]) -> Option<RequestDigest> {
+    bytes.try_into().ok().map(RequestDigest::new)
+}
+
+fn decode_suspects(parts: &[u64], digest: &[u8]) -> Vec<Suspect> {
+    let parts = parts.iter().map(|part| PartId::new(*part).into());
+    parts
+        .chain(decode_digest(digest).map(Suspect::from))
+        .collect()
+}
--- a/crates/cicadalock-core/src/quarantine/evidence_board.rs
+++ b/crates/cicadalock-core/src/quarantine/evidence_board.rs
@@ -2,10 +2,11 @@
 
 use prost::Message;
 
-use super::crash_report::{CrashReport, ReportId, SoundPart};
-use super::part_verdict::{NearVerdict, VerdictTable, judge};
+use super::crash_report::{CrashReport, ReportId, SoundAnswer};
+use super::suspect::Suspect;
+use super::suspect_verdict::{NearVerdict, VerdictTable, judge};
 use crate::collect::SortedMap;
-use crate::id::{PartId, ServiceName};
+use crate::id::ServiceName;
 use crate::message::EvidenceFrame;
 use crate::time::{ClockTime, PastTime};
 
@@ -33,7 +34,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EvidenceBoard {
     reports: SortedMap<ReportId, CrashReport>,
-    sound: SortedMap<(ServiceName, PartId), PastTime>,
+    sound: SortedMap<(ServiceName, Suspect), PastTime>,
 }
 
 impl EvidenceBoard {
@@ -53,13 +54,13 @@
     }
 
     /// Adds an answer that did no harm; returns whether it is notably newer than the one known.
-    pub fn add_sound(&mut self, sound: SoundPart) -> bool {
-        let SoundPart {
+    pub fn add_sound(&mut self, sound: SoundAnswer) -> bool {
+        let SoundAnswer {
             service,
-            part,
+            suspect,
             begun,
         } = sound;
-        let key = (service, part);
+        let key = (service, suspect);
         if let Some(known) = self.sound.get_mut(&key) {
             let is_newer = begun.since(*known) > SOUND_STEP;
             *known = begun.max(*known);
@@ -93,7 +94,7 @@
             }
         }
         for sound in frame.sound {
-            match SoundPart::from_frame(&sound, now) {
+            match SoundAnswer::from_frame(&sound, now) {
                 Ok(part) => {
                     if self.add_sound(part) {
                         news.sound.push(sound);
@@ -116,10 +117,10 @@
                 frames.push(std::mem::take(&mut frame));
             }
         }
-        for ((service, part), begun) in self.sound.iter() {
-            let sound = SoundPart {
+        for ((service, suspect), begun) in self.sound.iter() {
+            let sound = SoundAnswer {
                 service: service.clone(),
-                part: *part,
+                suspect: *suspect,
                 begun: *begun,
             };
             frame.sound.push(sound.to_frame(now));
@@ -162,8 +163,8 @@
 
     /// Returns when the latest sound answer on `part` that is on the board began.
     #[must_use]
-    pub fn last_sound(&self, service: &ServiceName, part: PartId) -> Option<PastTime> {
-        self.sound.get(&(service.clone(), part)).copied()
+    pub fn last_sound(&self, service: &ServiceName, suspect: Suspect) -> Option<PastTime> {
+        self.sound.get(&(service.clone(), suspect)).copied()
     }
 
     /// Returns the parts that crash endpoints.
@@ -172,7 +173,7 @@
     pub fn judge(
         &self,
         now: ClockTime,
-        own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+        own_sound: impl Fn(&ServiceName, Suspect) -> Option<PastTime>,
     ) -> VerdictTable {
         self.judge_all(now, own_sound).0
     }
@@ -181,9 +182,9 @@
     pub(super) fn judge_all(
         &self,
         now: ClockTime,
-        own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+        own_sound: impl Fn(&ServiceName, Suspect) -> Option<PastTime>,
     ) -> (VerdictTable, Vec<NearVerdict>) {
-        let shared = |service: &ServiceName, part| self.last_sound(service, part);
+        let shared = |service: &ServiceName, suspect| self.last_sound(service, suspect);
         judge(self.reports.values(), shared, own_sound, now)
     }
 }
--- a/crates/cicadalock-core/src/quarantine/sound_memory.rs
+++ b/crates/cicadalock-core/src/quarantine/sound_memory.rs
@@ -1,7 +1,8 @@
 use std::time::Duration;
 
+use super::suspect::Suspect;
 use crate::collect::SortedMap;
-use crate::id::{PartId, ServiceName};
+use crate::id::ServiceName;
 use crate::time::{ClockTime, PastTime};
 
 /// Number of parts that are remembered; 64 bytes each.
@@ -15,17 +16,23 @@
 /// Bounded: while it is full, parts that it does not hold are not recorded.
 #[derive(Debug, Clone, Default)]
 pub struct SoundMemory {
-    parts: SortedMap<(ServiceName, PartId), PastTime>,
+    parts: SortedMap<(ServiceName, Suspect), PastTime>,
     cleaned_at: ClockTime,
 }
 
 impl SoundMemory {
     /// Records that an answer on `part` that began at `begun` did not crash its endpoint.
-    pub fn record(&mut self, service: &ServiceName, part: PartId, begun: PastTime, now: ClockTime) {
+    pub fn record(
+        &mut self,
+        service: &ServiceName,
+        suspect: Suspect,
+        begun: PastTime,
+        now: ClockTime,
+    ) {
         if self.parts.len() >= CAPACITY {
             self.expire(now);
         }
-        let key = (service.clone(), part);
+        let key = (service.clone(), suspect);
         if let Some(last) = self.parts.get_mut(&key) {
             *last = begun.max(*last);
         } else if self.parts.len() < CAPACITY {
@@ -35,8 +42,8 @@
 
     /// Returns when the latest recorded answer on `part` began.
     #[must_use]
-    pub fn last(&self, service: &ServiceName, part: PartId) -> Option<PastTime> {
-        self.parts.get(&(service.clone(), part)).copied()
+    pub fn last(&self, service: &ServiceName, suspect: Suspect) -> Option<PastTime> {
+        self.parts.get(&(service.clone(), suspect)).copied()
     }
 
     /// Returns the number of parts that are held.
--- a/crates/cicadalock-core/src/quarantine/part_verdict.rs
+++ b/crates/cicadalock-core/src/quarantine/suspect_verdict.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
 use super::crash_report::{CrashReport, SuspectRequest};
+use super::suspect::Suspect;
 use crate::collect::SortedMap;
-use crate::id::{EndpointId, PartId, ServiceName};
+use crate::id::{EndpointId, ServiceName};
 use crate::time::{ClockTime, PastTime};
 
 /// Crashes one after the other, each begun by a request with the part, after which it is refused.
@@ -23,12 +24,19 @@
 /// still seem to be of the same moment.
 const CRASH_GAP: Duration = Duration::from_millis(100);
 
+/// The same for crashes by one request, each attempt of which follows the crash before.
+const REQUEST_CRASH_GAP: Duration = Duration::from_millis(20);
+
+/// Crashed endpoints after which two crashes one after the other by the same request are enough. Few requests
+/// are sent that often, so that chance says little.
+const REQUEST_ENDPOINT_LIMIT: usize = 3;
+
 /// Time within which several routers lose their requests at an endpoint in the same crash.
 const CRASH_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// A part of prompts that crashes the endpoints of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PartVerdict {
+pub struct SuspectVerdict {
     /// Number of endpoints that crashed.
     pub endpoints: usize,
     /// Number of crashes one after the other.
@@ -41,28 +49,30 @@
     pub pauses: u32,
     /// Whether an answer on the part survived before the crashes.
     pub was_sound: bool,
+    /// Number of other suspects, in other requests, that may have caused the same crashes as well.
+    pub rivals: usize,
     /// Other parts that crash endpoints as far as is known, as they were in the same requests each
     /// time. Only requests with all of them are refused.
-    pub companions: Vec<PartId>,
+    pub companions: Vec<Suspect>,
 }
 
 /// The parts that crash endpoints, by service.
-pub type VerdictTable = SortedMap<(ServiceName, PartId), PartVerdict>;
+pub type VerdictTable = SortedMap<(ServiceName, Suspect), SuspectVerdict>;
 
 /// A part in a request that was at an endpoint when it crashed.
 #[derive(Debug, Clone, Copy)]
-struct PartSighting<'a> {
-    part: PartId,
+struct SuspectSighting<'a> {
+    suspect: Suspect,
     report: &'a CrashReport,
     request: &'a SuspectRequest,
 }
 
 /// The sightings of one part, by time of the crash, without those that a later answer clears.
 #[derive(Debug)]
-struct SuspectPart<'a> {
+struct RankedSuspect<'a> {
     service: &'a ServiceName,
-    part: PartId,
-    sightings: Vec<PartSighting<'a>>,
+    suspect: Suspect,
+    sightings: Vec<SuspectSighting<'a>>,
     count: CrashCount,
     was_sound: bool,
 }
@@ -71,7 +81,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct NearVerdict {
     pub(super) service: ServiceName,
-    pub(super) part: PartId,
+    pub(super) suspect: Suspect,
     /// When the first request of its crashes was sent.
     pub(super) started: PastTime,
 }
@@ -83,8 +93,8 @@
 /// crashes before: all routers know what `shared_sound` returns, and this one also `own_sound`.
 pub(super) fn judge<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
-    shared_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
-    own_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
+    shared_sound: impl Fn(&ServiceName, Suspect) -> Option<PastTime>,
+    own_sound: impl Fn(&ServiceName, Suspect) -> Option<PastTime>,
     now: ClockTime,
 ) -> (VerdictTable, Vec<NearVerdict>) {
     let mut suspects = find_suspects(reports, shared_sound);
@@ -93,13 +103,13 @@
         let requests = suspect.sightings.iter();
         Some(NearVerdict {
             service: suspect.service.clone(),
-            part: suspect.part,
+            suspect: suspect.suspect,
             started: requests.map(|sighting| sighting.request.started).min()?,
         })
     });
     let near = near.collect();
     for suspect in &mut suspects {
-        if let Some(last) = own_sound(suspect.service, suspect.part) {
+        if let Some(last) = own_sound(suspect.service, suspect.suspect) {
             suspect
                 .sightings
                 .retain(|sighting| last < sighting.request.started);
@@ -107,14 +117,14 @@
             suspect.was_sound = true;
         }
     }
-    suspects.retain(|suspect| suspect.count.is_enough());
+    suspects.retain(|ranked| ranked.count.is_enough(ranked.suspect));
     let ranks = crash_ranks(&suspects);
     let mut table = VerdictTable::new();
     for suspect in &suspects {
         // A crash is put down to the part with the most crashes among those involved, of several to one
         // that was never answered.
         let is_unexplained =
-            |sighting: &&PartSighting<'_>| highest_at(&ranks, sighting) <= suspect.rank();
+            |sighting: &&SuspectSighting<'_>| highest_at(&ranks, sighting) <= suspect.rank();
         let list = suspect.sightings.iter().filter(is_unexplained);
         let list: Vec<_> = list.copied().collect();
         let count = CrashCount::of(&list);
@@ -122,25 +132,26 @@
             continue;
         };
         let span = (first.report.crashed_at, last.report.crashed_at);
-        if !count.is_enough() || span.0.age(now) < SETTLE_TIME {
+        if !count.is_enough(suspect.suspect) || span.0.age(now) < SETTLE_TIME {
             continue;
         }
         let pauses = list.windows(2).filter(|pair| {
             let pause = pair[1].report.crashed_at.since(pair[0].report.crashed_at);
             pause >= TRIAL_PAUSE
         });
-        let verdict = PartVerdict {
+        let verdict = SuspectVerdict {
             endpoints: count.endpoints,
             crashes: count.in_turn,
             reporters: latest_reporters(&list),
             span,
             pauses: pauses.count() as u32,
             was_sound: suspect.was_sound,
-            companions: constant_companions(&list, suspect.part),
+            rivals: count_rivals(&suspects, suspect),
+            companions: constant_companions(&list, suspect.suspect),
         };
-        table.insert((suspect.service.clone(), suspect.part), verdict);
+        table.insert((suspect.service.clone(), suspect.suspect), verdict);
     }
-    let refused: Vec<(ServiceName, PartId)> = table.keys().cloned().collect();
+    let refused: Vec<(ServiceName, Suspect)> = table.keys().cloned().collect();
     for ((service, _), verdict) in table.iter_mut() {
         verdict.companions.retain(|part| {
             refused
@@ -154,15 +165,15 @@
 /// Returns the parts that were in at least two crashes, without those that a later answer clears.
 fn find_suspects<'a>(
     reports: impl Iterator<Item = &'a CrashReport>,
-    last_sound: impl Fn(&ServiceName, PartId) -> Option<PastTime>,
-) -> Vec<SuspectPart<'a>> {
-    let mut all: Vec<PartSighting<'a>> = reports
+    last_sound: impl Fn(&ServiceName, Suspect) -> Option<PastTime>,
+) -> Vec<RankedSuspect<'a>> {
+    let mut all: Vec<SuspectSighting<'a>> = reports
         .flat_map(|report| {
             let requests = report.requests.iter();
             requests.flat_map(move |request| {
-                let parts = request.parts.iter();
-                parts.map(move |part| PartSighting {
-                    part: *part,
+                let suspects = request.suspects.iter();
+                suspects.map(move |suspect| SuspectSighting {
+                    suspect: *suspect,
                     report,
                     request,
                 })
@@ -170,25 +181,26 @@
         })
         .collect();
     all.sort_unstable_by(|left, right| {
-        let by_part = left.part.cmp(&right.part);
+        let by_suspect = left.suspect.cmp(&right.suspect);
         let by_service = || left.report.service.cmp(&right.report.service);
         let by_time = || left.report.crashed_at.cmp(&right.report.crashed_at);
-        by_part.then_with(by_service).then_with(by_time)
+        by_suspect.then_with(by_service).then_with(by_time)
     });
     let mut suspects = Vec::new();
-    let is_same = |left: &PartSighting<'_>, right: &PartSighting<'_>| {
-        left.part == right.part && left.report.service == right.report.service
+    let is_same = |left: &SuspectSighting<'_>, right: &SuspectSighting<'_>| {
+        left.suspect == right.suspect && left.report.service == right.report.service
     };
     for group in all.chunk_by(is_same).filter(|group| group.len() > 1) {
-        let (service, part) = (&group[0].report.service, group[0].part);
-        let last = last_sound(service, part);
-        let is_open =
-            |sighting: &&PartSighting<'a>| last.is_none_or(|last| last < sighting.request.started);
+        let (service, suspect) = (&group[0].report.service, group[0].suspect);
+        let last = last_sound(service, suspect);
+        let is_open = |sighting: &&SuspectSighting<'a>| {
+            last.is_none_or(|last| last < sighting.request.started)
+        };
         let sightings: Vec<_> = group.iter().filter(is_open).copied().collect();
         if sightings.len() > 1 {
-            suspects.push(SuspectPart {
+            suspects.push(RankedSuspect {
                 service,
-                part,
+                suspect,
                 count: CrashCount::of(&sightings),
                 was_sound: last.is_some(),
                 sightings,
@@ -199,7 +211,7 @@
 }
 
 /// Returns the processes that reported crashes, the one of the last crash first.
-fn latest_reporters(sightings: &[PartSighting<'_>]) -> Vec<u64> {
+fn latest_reporters(sightings: &[SuspectSighting<'_>]) -> Vec<u64> {
     let mut reporters = Vec::new();
     for sighting in sightings.iter().rev() {
         let reporter = sighting.report.id.reporter;
@@ -212,19 +224,29 @@
 
 /// Returns the greatest number of crashes, by time of the crash, such that the request of each was
 /// sent after the crash before.
-fn count_in_turn(sightings: &[PartSighting<'_>]) -> usize {
+fn count_in_turn(sightings: &[SuspectSighting<'_>]) -> usize {
     let mut counted: Vec<&CrashReport> = Vec::new();
     for sighting in sightings {
         let report = sighting.report;
+        let gap = if sighting.suspect.is_request() {
+            REQUEST_CRASH_GAP
+        } else {
+            CRASH_GAP
+        };
         let is_in_turn = counted.last().is_none_or(|last| {
             sighting.request.started >= last.crashed_at
-                && report.crashed_at.since(last.crashed_at) >= CRASH_GAP
+                && report.crashed_at.since(last.crashed_at) >= gap
         });
-        // An endpoint is not back within a second; its later crash is the same as another router saw it.
+        // An endpoint is seldom back within a second; its later crash is the same as another router saw it.
         let is_recent =
             |other: &&&CrashReport| report.crashed_at.since(other.crashed_at) <= CRASH_SPREAD;
+        // One router reports an endpoint again only once it was back.
+        let is_same = |other: &CrashReport| {
+            let is_back = sighting.suspect.is_request() && other.id.reporter == report.id.reporter;
+            other.endpoint == report.endpoint && !is_back
+        };
         let mut recent = counted.iter().rev().take_while(is_recent);
-        if is_in_turn && recent.all(|other| other.endpoint != report.endpoint) {
+        if is_in_turn && !recent.any(|other| is_same(other)) {
             counted.push(report);
         }
     }
@@ -241,7 +263,7 @@
 }
 
 impl CrashCount {
-    fn of(sightings: &[PartSighting<'_>]) -> Self {
+    fn of(sightings: &[SuspectSighting<'_>]) -> Self {
         let mut endpoints: Vec<&EndpointId> = sightings
             .iter()
             .map(|sighting| &sighting.report.endpoint)
@@ -256,15 +278,20 @@
         }
     }
 
-    const fn is_enough(self) -> bool {
-        self.in_turn >= CRASH_LIMIT || (self.in_turn >= 2 && self.endpoints >= ENDPOINT_LIMIT)
+    const fn is_enough(self, suspect: Suspect) -> bool {
+        let endpoints = if suspect.is_request() {
+            REQUEST_ENDPOINT_LIMIT
+        } else {
+            ENDPOINT_LIMIT
+        };
+        self.in_turn >= CRASH_LIMIT || (self.in_turn >= 2 && self.endpoints >= endpoints)
     }
 }
 
 /// How likely a part is the cause of a crash: its crashes, and whether it was never answered.
 type SuspectRank = (CrashCount, bool);
 
-impl SuspectPart<'_> {
+impl RankedSuspect<'_> {
     const fn rank(&self) -> SuspectRank {
         (self.count, !self.was_sound)
     }
@@ -273,7 +300,7 @@
 type CrashRanks<'a> = SortedMap<&'a EndpointId, Vec<(PastTime, SuspectRank)>>;
 
 /// Returns for each crash the ranks of the parts in it.
-fn crash_ranks<'a>(suspects: &[SuspectPart<'a>]) -> CrashRanks<'a> {
+fn crash_ranks<'a>(suspects: &[RankedSuspect<'a>]) -> CrashRanks<'a> {
     let mut ranks = CrashRanks::new();
     for suspect in suspects {
         for sighting in &suspect.sightings {
@@ -285,7 +312,7 @@
 }
 
 /// Returns the highest rank among the parts in a crash, as all routers reported it.
-fn highest_at(ranks: &CrashRanks<'_>, sighting: &PartSighting<'_>) -> SuspectRank {
+fn highest_at(ranks: &CrashRanks<'_>, sighting: &SuspectSighting<'_>) -> SuspectRank {
     let crashed_at = sighting.report.crashed_at;
     let crashes = ranks.get(&&sighting.report.endpoint);
     let same = crashes.into_iter().flatten().filter(|(at, _)| {
@@ -295,14 +322,31 @@
     same.map(|(_, rank)| *rank).max().unwrap_or_default()
 }
 
-/// Returns the parts that share a request with `part` in each of its crashes.
-fn constant_companions(sightings: &[PartSighting<'_>], part: PartId) -> Vec<PartId> {
-    let mut companions: Option<Vec<PartId>> = None;
+/// Returns the number of suspects of the same rank that were in the last crash of `suspect`, each in another
+/// request there.
+fn count_rivals(suspects: &[RankedSuspect<'_>], suspect: &RankedSuspect<'_>) -> usize {
+    let Some(last) = suspect.sightings.last() else {
+        return 0;
+    };
+    let is_rival = |other: &&RankedSuspect<'_>| {
+        other.suspect != suspect.suspect
+            && other.rank() == suspect.rank()
+            && other.sightings.iter().any(|sighting| {
+                sighting.report.endpoint == last.report.endpoint
+                    && !sighting.request.suspects.contains(&suspect.suspect)
+            })
+    };
+    suspects.iter().filter(is_rival).count()
+}
+
+/// Returns the suspects that share a request with `suspect` in each of its crashes.
+fn constant_companions(sightings: &[SuspectSighting<'_>], suspect: Suspect) -> Vec<Suspect> {
+    let mut companions: Option<Vec<Suspect>> = None;
     for crash in sightings.chunk_by(|left, right| left.report.endpoint == right.report.endpoint) {
-        let mut here: Vec<PartId> = crash
+        let mut here: Vec<Suspect> = crash
             .iter()
-            .flat_map(|sighting| sighting.request.parts.iter().copied())
-            .filter(|other| *other != part)
+            .flat_map(|sighting| sighting.request.suspects.iter().copied())
+            .filter(|other| *other != suspect)
             .collect();
         if let Some(before) = &companions {
             here.retain(|other| before.contains(other));
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -1039,7 +1039,7 @@
                     }
                     GatewayAction::SendToDesk { .. }
                     | GatewayAction::CloseDesk(_)
-                    | GatewayAction::ReportPart(_)
+                    | GatewayAction::ReportSuspect(_)
                     | GatewayAction::ReportShares(_)
                     | GatewayAction::ReportInvalid(_) => {}
                 }
--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -4,10 +4,12 @@
 
 use std::time::Duration;
 
-use cicadalock_core::id::{EndpointId, PartId, ServiceName};
+use cicadalock_core::gateway::GatewayCall;
+use cicadalock_core::id::{CustomerId, EndpointId, PartId, RequestDigest, ServiceName};
 use cicadalock_core::message::EvidenceFrame;
 use cicadalock_core::quarantine::{
-    CrashReport, EvidenceBoard, PartGuard, ReportId, SoundPart, SuspectRequest, VerdictTable,
+    CrashGuard, CrashReport, EvidenceBoard, ReportId, SoundAnswer, Suspect, SuspectRequest,
+    VerdictTable,
 };
 use cicadalock_core::serving::PromptShape;
 use cicadalock_core::time::{ClockTime, PastTime};
@@ -35,21 +37,17 @@
     format!("i-{number}").parse().expect("valid name")
 }
 
-/// A prompt with the given shared parts and an own one.
-fn prompt(shared: &[u64]) -> PromptShape {
-    let list: String = shared.iter().map(|part| format!("{part:x}:100,")).collect();
-    PromptShape {
-        input: 1_000,
-        parts: PromptShape::parse_parts(&format!("{list}ffff:10")).expect("valid parts"),
-        ..PromptShape::default()
-    }
+/// What an endpoint may crash on in a request whose prompt has the given shared parts.
+fn prompt(shared: &[u64]) -> Vec<Suspect> {
+    let parts = shared.iter().copied().map(PartId::new);
+    parts.map(Suspect::from).collect()
 }
 
 /// A crash of an endpoint of its own, with the start and the shared parts of each request there.
 fn crash(number: u32, crashed: u64, requests: &[(u64, &[u64])]) -> CrashReport {
     let requests = requests.iter().map(|(started, parts)| SuspectRequest {
         started: past(*started),
-        parts: parts.iter().copied().map(PartId::new).collect(),
+        suspects: prompt(parts),
     });
     CrashReport {
         id: ReportId {
@@ -63,16 +61,20 @@
     }
 }
 
-fn sound(part: u64, begun: u64) -> SoundPart {
-    SoundPart {
+fn sound(part: u64, begun: u64) -> SoundAnswer {
+    SoundAnswer {
         service: service(),
-        part: PartId::new(part),
+        suspect: PartId::new(part).into(),
         begun: past(begun),
     }
 }
 
 fn refused(verdicts: &VerdictTable) -> Vec<u64> {
-    verdicts.keys().map(|(_, part)| part.get()).collect()
+    let parts = verdicts.keys().filter_map(|(_, suspect)| match suspect {
+        Suspect::Part(part) => Some(part.get()),
+        Suspect::Request(_) => None,
+    });
+    parts.collect()
 }
 
 fn judge(board: &EvidenceBoard, millis: u64) -> VerdictTable {
@@ -90,8 +92,8 @@
 }
 
 /// A guard that has received a board.
-fn guard_with(board: &EvidenceBoard, millis: u64) -> PartGuard {
-    let mut guard = PartGuard::default();
+fn guard_with(board: &EvidenceBoard, millis: u64) -> CrashGuard {
+    let mut guard = CrashGuard::default();
     guard.set_reporter(2);
     for frame in board.to_frames(at(millis)) {
         assert_eq!(guard.receive(frame, at(millis)), 0);
@@ -120,7 +122,13 @@
 #[test]
 fn the_last_part_of_a_prompt_is_its_own_and_never_refused() {
     let guard = guard_with(&board_in_turn(3, &[0xffff]), 2_000);
-    assert!(!guard.refuses(&service(), &prompt(&[COMMON])));
+    let prompt = PromptShape {
+        input: 1_000,
+        parts: PromptShape::parse_parts("1:100,ffff:10").expect("valid parts"),
+        ..PromptShape::default()
+    };
+    let call = GatewayCall::builder(service(), CustomerId::new(1), at(0)).prompt(Some(prompt));
+    assert!(!guard.refuses(&service(), &call.build().suspects));
 }
 
 #[test]
@@ -208,7 +216,7 @@
         let requests = [(crashed, &[COMMON, BAD][..]), (crashed, &[COMMON])];
         board.add_report(crash(number, crashed + 50, &requests));
     }
-    board.add_sound(SoundPart {
+    board.add_sound(SoundAnswer {
         begun: PastTime::from_age(at(0), Duration::from_secs(1)),
         ..sound(COMMON, 0)
     });
@@ -247,7 +255,7 @@
 #[test]
 fn a_router_without_reports_tries_a_part_that_was_sound_before() {
     let mut board = board_in_turn(3, &[BAD]);
-    board.add_sound(SoundPart {
+    board.add_sound(SoundAnswer {
         begun: PastTime::from_age(at(0), Duration::from_secs(1)),
         ..sound(BAD, 0)
     });
@@ -272,7 +280,7 @@
 
 #[test]
 fn requests_sent_to_an_endpoint_that_has_crashed_speak_against_no_part() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     for number in 0..2 {
         let started = u64::from(number) * 700;
         lose(&mut guard, number, started, false);
@@ -290,7 +298,7 @@
 
 #[test]
 fn an_endpoint_that_answers_again_can_crash_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     lose(&mut guard, 1, 0, false);
     guard.record_crash(&endpoint(1), at(70));
     guard.record_answer(&endpoint(1), at(600), at(700));
@@ -302,7 +310,7 @@
 /// The second answer had begun, which only an endpoint that is back can do.
 #[test]
 fn an_endpoint_that_is_back_and_crashes_again_before_it_completes_an_answer_is_reported_again() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     lose(&mut guard, 1, 0, false);
     guard.record_crash(&endpoint(1), at(70));
     lose(&mut guard, 1, 700, false);
@@ -313,7 +321,7 @@
 #[test]
 fn a_part_that_was_sound_before_is_tried_soon_and_then_ever_more_rarely() {
     let mut board = board_in_turn(3, &[BAD]);
-    board.add_sound(SoundPart {
+    board.add_sound(SoundAnswer {
         begun: PastTime::from_age(at(0), Duration::from_secs(1)),
         ..sound(BAD, 0)
     });
@@ -368,7 +376,10 @@
     guard.update(at(63_000));
     assert!(!guard.refuses(&service(), &bad));
     let change = guard.take_changes().pop().expect("a change");
-    assert_eq!((change.part, change.verdict), (PartId::new(BAD), None));
+    assert_eq!(
+        (change.suspect, change.verdict),
+        (PartId::new(BAD).into(), None)
+    );
     let frame = guard
         .take_outgoing(at(63_000))
         .expect("the others hear of it");
@@ -384,7 +395,7 @@
 }
 
 /// Loses a request with the bad part at an endpoint, in the way that `is_whole` tells.
-fn lose(guard: &mut PartGuard, number: u32, started: u64, is_whole: bool) -> bool {
+fn lose(guard: &mut CrashGuard, number: u32, started: u64, is_whole: bool) -> bool {
     let times = (at(started), Some(at(started + 40)));
     let (endpoint, now) = (endpoint(number), at(started + 60));
     guard.record_break(&endpoint, &service(), &prompt(&[BAD]), times, is_whole, now)
@@ -392,7 +403,7 @@
 
 #[test]
 fn a_quiet_end_is_part_of_a_crash_that_is_found_later() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     for number in 0..3 {
         let started = u64::from(number) * 600;
         assert!(!lose(&mut guard, number, started, true), "looks whole");
@@ -426,7 +437,7 @@
 
 #[test]
 fn requests_broken_by_an_endpoint_that_still_answers_speak_against_no_part() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     for number in 0..6 {
         let started = u64::from(number) * 600;
         assert!(lose(&mut guard, number, started, false), "a check is due");
@@ -440,7 +451,7 @@
 
 #[test]
 fn an_answer_that_had_gone_on_for_long_did_not_cause_the_crash() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     let times = (at(0), Some(at(100)));
     let must_check = guard.record_break(
         &endpoint(1),
@@ -475,7 +486,7 @@
 
 #[test]
 fn many_parts_that_are_seen_once_take_bounded_memory() {
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     for part in 0..100_000 {
         let now = at(part);
         guard.record_sound(&service(), &prompt(&[COMMON, 0x1_0000 + part]), now, now);
@@ -526,3 +537,113 @@
         prop_assert_eq!(judge(&straight, 9_000), judge(&shuffled, 9_000));
     }
 }
+
+fn digest(number: u8) -> Suspect {
+    RequestDigest::new([number; RequestDigest::BYTES]).into()
+}
+
+/// A crash of an endpoint at `crashed`, with the start and the number of each request there.
+fn request_crash(number: u32, crashed: u64, requests: &[(u64, u8)]) -> CrashReport {
+    let mut report = crash(number, crashed, &[]);
+    report.requests = requests
+        .iter()
+        .map(|(started, request)| SuspectRequest {
+            started: past(*started),
+            suspects: vec![digest(*request)],
+        })
+        .collect();
+    report
+}
+
+fn refused_requests(board: &EvidenceBoard, millis: u64, numbers: &[u8]) -> Vec<u8> {
+    let guard = guard_with(board, millis);
+    let numbers = numbers.iter().copied();
+    numbers
+        .filter(|number| guard.refuses(&service(), &[digest(*number)]))
+        .collect()
+}
+
+#[test]
+fn a_request_that_crashed_three_endpoints_in_two_turns_is_refused() {
+    let mut board = EvidenceBoard::default();
+    for (number, crashed) in [(0, 100), (1, 110), (2, 200)] {
+        board.add_report(request_crash(number, crashed, &[(crashed - 60, 1)]));
+    }
+    assert_eq!(refused_requests(&board, 2_000, &[1, 2]), [1]);
+}
+
+#[test]
+fn requests_that_an_endpoint_took_along_in_one_crash_are_not_refused() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..3 {
+        let crashed = u64::from(number) * 150 + 100;
+        let company = number as u8 + 10;
+        let requests = [(crashed - 60, 1), (crashed - 30, company)];
+        board.add_report(request_crash(number, crashed, &requests));
+    }
+    assert_eq!(refused_requests(&board, 2_000, &[1, 10, 11, 12]), [1]);
+}
+
+#[test]
+fn a_request_that_was_answered_in_between_is_not_refused_for_its_company() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..3 {
+        let crashed = u64::from(number) * 150 + 100;
+        let requests = [(crashed - 60, 1), (crashed - 50, 2)];
+        board.add_report(request_crash(number, crashed, &requests));
+    }
+    let answer = SoundAnswer {
+        service: service(),
+        suspect: digest(2),
+        begun: past(300),
+    };
+    board.add_sound(answer);
+    assert_eq!(refused_requests(&board, 2_000, &[1, 2]), [1]);
+}
+
+/// Both requests were in each crash, and neither was answered: a trial of each tells them apart.
+#[test]
+fn a_request_that_cannot_be_told_from_its_company_is_tried_soon() {
+    let mut board = EvidenceBoard::default();
+    for number in 0..3 {
+        let crashed = u64::from(number) * 150 + 100;
+        let requests = [(crashed - 60, 1), (crashed - 50, 2)];
+        board.add_report(request_crash(number, crashed, &requests));
+    }
+    let mut guard = guard_with(&board, 2_000);
+    let (bad, sound) = ([digest(1)], [digest(2)]);
+    assert!(guard.refuses(&service(), &bad) && guard.refuses(&service(), &sound));
+    assert!(!guard.begin_trial(&service(), &sound, at(4_000)));
+    assert!(guard.begin_trial(&service(), &sound, at(5_500)));
+    assert!(
+        !guard.begin_trial(&service(), &bad, at(5_600)),
+        "one after the other"
+    );
+    guard.record_sound(&service(), &sound, at(5_510), at(5_540));
+    guard.update(at(5_800));
+    assert!(!guard.refuses(&service(), &sound));
+    assert!(guard.refuses(&service(), &bad));
+}
+
+#[test]
+fn prompt_parts_and_requests_with_the_same_number_are_told_apart() {
+    let part = u64::from_be_bytes([7; 8]);
+    let board = board_in_turn(3, &[part]);
+    assert!(refused_requests(&board, 2_000, &[7]).is_empty());
+}
+
+#[test]
+fn the_digest_of_a_request_reaches_other_routers() {
+    let report = request_crash(1, 100, &[(40, 9)]);
+    let mut board = EvidenceBoard::default();
+    board.add_report(report.clone());
+    let mut other = EvidenceBoard::default();
+    for frame in board.to_frames(at(2_000)) {
+        other.merge(frame, at(2_000));
+    }
+    let received: Vec<_> = other
+        .reports()
+        .map(|report| report.requests.clone())
+        .collect();
+    assert_eq!(received, [report.requests]);
+}
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use cicadalock_core::gateway::AttemptEnd;
-use cicadalock_core::id::{CustomerName, EndpointId, PartId};
+use cicadalock_core::id::{CustomerName, EndpointId, PartId, RequestDigest};
 use cicadalock_core::quarantine::SURVIVAL_TIME;
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
@@ -46,6 +46,8 @@
     pub(super) may_retry: bool,
     /// Ids of the prompt's parts that other requests may share, in order.
     pub(super) shared_parts: Vec<PartId>,
+    /// Digest by which the request is known if its caller sends it again.
+    pub(super) digest: RequestDigest,
 }
 
 /// Where and when an attempt was sent, and when its answer began.
@@ -127,6 +129,7 @@
                 "sent_ms": now.since(progress.started_at).as_millis() as u64,
                 "answered_ms": progress.begun_at.map(|begun| now.since(begun).as_millis() as u64),
                 "parts": parts,
+                "digest": request.digest.to_string(),
             }),
         );
     }
@@ -227,7 +230,7 @@
 ) -> Result<(), AttemptFailure> {
     let machine = shared.machine.borrow();
     let detail = if machine.is_refused(assignment.request) {
-        "a part of the prompt was found to crash endpoints before this request was sent"
+        "what crashes endpoints was found in this request before it was sent"
     } else if !machine.is_usable(&assignment.endpoint, shared.now()) {
         "the endpoint stopped taking requests before this one was sent"
     } else {
--- a/crates/cicadalock-node/src/gateway/crash_check.rs
+++ b/crates/cicadalock-node/src/gateway/crash_check.rs
@@ -44,16 +44,21 @@
         });
     }
 
-    /// Logs and counts a part of prompts that is refused from now on, or no longer.
-    pub(super) fn report_part(&self, change: &GuardChange) {
+    /// Logs and counts a part of prompts or a request that is refused from now on, or no longer.
+    pub(super) fn report_suspect(&self, change: &GuardChange) {
         let labels = PartLabels {
             service: change.service.to_string(),
-            part: change.part.to_string(),
+            part: change.suspect.to_string(),
+        };
+        let (refused, allowed) = if change.suspect.is_request() {
+            ("request-refused", "request-allowed")
+        } else {
+            ("part-refused", "part-allowed")
         };
         let Some(verdict) = &change.verdict else {
             self.metrics.refused_parts.remove(&labels);
             self.log.write(
-                "part-allowed",
+                allowed,
                 json!({"service": labels.service, "part": labels.part}),
             );
             return;
@@ -63,7 +68,7 @@
         let now = self.now();
         let companions = verdict.companions.iter().map(ToString::to_string);
         self.log.write(
-            "part-refused",
+            refused,
             json!({
                 "service": labels.service,
                 "part": labels.part,
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod platform_store;
 mod ready_port;
 mod refusal;
+mod request_digest;
 mod request_guard;
 mod serve;
 mod shared;
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -27,6 +27,7 @@
 use super::gateway_body::GatewayBody;
 use super::gateway_metrics::{AnswerLabels, EndLabels};
 use super::refusal::CallerRefusal;
+use super::request_digest::request_digest;
 use super::request_guard::RequestGuard;
 use super::shared::{EndpointAssignment, GatewayShared, StartVerdict};
 use super::stream_part::StreamPart;
@@ -278,6 +279,7 @@
         BodyError::TimedOut => CallerRefusal::client_error(408, "slow-body"),
     })?;
     let path = parts.uri.path_and_query().cloned();
+    let digest = request_digest(customer.as_ref(), &parts.method, &parts.uri, &body);
     let prompt = fields.prompt.iter();
     let shared_parts = prompt.flat_map(|prompt| prompt.shared());
     let request = CallerRequest {
@@ -290,6 +292,7 @@
         deadline,
         may_retry: route.may_retry(),
         shared_parts: shared_parts.map(|part| part.id).collect(),
+        digest,
     };
     Ok(RequestHandler {
         shared: Rc::clone(shared),
@@ -316,6 +319,7 @@
             .objective(self.route.objective, self.route.pause)
             .deadline(self.request.deadline)
             .attempts(self.route.may_retry(), self.route.max_attempts)
+            .digest(self.request.digest)
             .build();
         let mut guard = RequestGuard::submit(&self.shared, call);
         loop {
@@ -656,6 +660,7 @@
                 "endpoint": assignment.endpoint.as_str(),
                 "waited_ms": assignment.waited.as_millis() as u64,
                 "parts": parts,
+                "digest": self.request.digest.to_string(),
                 "expected_ms": assignment.expected.as_millis() as u64,
             }),
         );
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -401,8 +401,8 @@
                 self.check_endpoint(endpoint, address);
                 return;
             }
-            GatewayAction::ReportPart(change) => {
-                self.report_part(&change);
+            GatewayAction::ReportSuspect(change) => {
+                self.report_suspect(&change);
                 return;
             }
             GatewayAction::ReportInvalid(count) => {
--- a/crates/trial/src/capacity/shared_knowledge.rs
+++ b/crates/trial/src/capacity/shared_knowledge.rs
@@ -4,9 +4,8 @@
 use cicadalock_core::id::PartId;
 use cicadalock_core::message::{DemandFrame, DeskEnvelope, DeskMessage, EvidenceFrame, ShareFrame};
 use cicadalock_core::quarantine::{
-    CrashReport, EvidenceBoard, PartGuard, ReportId, SoundPart, SuspectRequest,
+    CrashGuard, CrashReport, EvidenceBoard, ReportId, SoundAnswer, Suspect, SuspectRequest,
 };
-use cicadalock_core::serving::PromptShape;
 use cicadalock_core::time::{ClockTime, PastTime};
 use prost::Message;
 
@@ -47,7 +46,7 @@
         started.elapsed().as_nanos() as f64
     }));
     let before = resident_bytes();
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     fill_memory(&mut guard, now);
     let bytes = (resident_bytes() - before).max(0.0);
     let size = [SOUND_PARTS];
@@ -57,7 +56,7 @@
 }
 
 /// Measures the time that the guard adds to a request, with a full memory and a refused part.
-fn measure_request(mut guard: PartGuard, now: ClockTime, slopes: &mut Vec<PartSlopes>) {
+fn measure_request(mut guard: CrashGuard, now: ClockTime, slopes: &mut Vec<PartSlopes>) {
     const ROUNDS: u64 = 20_000;
     let Ok(service) = "model".parse() else {
         return;
@@ -97,9 +96,9 @@
         encoded(evidence),
         "bytes",
     ));
-    let sound = SoundPart {
+    let sound = SoundAnswer {
         service: report.service.clone(),
-        part: PartId::new(u64::MAX),
+        suspect: PartId::new(u64::MAX).into(),
         begun: PastTime::from(now),
     };
     let evidence = DeskMessage::Evidence(EvidenceFrame {
@@ -142,8 +141,8 @@
     let crashed = 860_000 + u64::from(number) * 250;
     let requests = (0..SUSPECTS).map(|index| SuspectRequest {
         started: PastTime::from_millis(crashed - 200),
-        parts: (0..PARTS)
-            .map(|part| PartId::new(part * 1_000_000 + index * part * u64::from(number)))
+        suspects: (0..PARTS)
+            .map(|part| PartId::new(part * 1_000_000 + index * part * u64::from(number)).into())
             .collect(),
     });
     let id = ReportId {
@@ -159,7 +158,7 @@
     ))
 }
 
-fn fill_memory(guard: &mut PartGuard, now: ClockTime) {
+fn fill_memory(guard: &mut CrashGuard, now: ClockTime) {
     if let Ok(service) = "model".parse() {
         for subject in 0..SOUND_PARTS {
             guard.record_sound(&service, &prompt(subject * 16), now, now);
@@ -167,13 +166,9 @@
     }
 }
 
-fn prompt(subject: u64) -> PromptShape {
-    let text = format!("a1:500,{:x}:100,{:x}:80,1:10", subject + 1, subject + 2);
-    PromptShape {
-        input: 690,
-        parts: PromptShape::parse_parts(&text).unwrap_or_default(),
-        ..PromptShape::default()
-    }
+fn prompt(subject: u64) -> Vec<Suspect> {
+    let parts = [0xa1, subject + 1, subject + 2];
+    parts.map(|part| PartId::new(part).into()).to_vec()
 }
 
 /// Adds the rows on crashing parts and on limits.
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -486,7 +486,7 @@
             } => self.refuse(request.get() as usize, retry_after),
             GatewayAction::CloseDesk(_)
             | GatewayAction::CheckEndpoint { .. }
-            | GatewayAction::ReportPart(_)
+            | GatewayAction::ReportSuspect(_)
             | GatewayAction::ReportInvalid(_)
             | GatewayAction::ReportShares(_) => {}
         }
