fix(gateway): an endpoint that is back and crashes on its first request is reported again

Cause: after a crash, what an endpoint broke was dropped until an answer completed, up to 10 s, so that endpoints that are back under their id and crash at once left no evidence. Change: an attempt that began to be answered, or was held for as long as one that crashes an endpoint takes, shows that the endpoint was back. A proxy in front of one that is down ends the connection sooner, which still speaks against no part (requests_sent_to_an_endpoint_that_has_crashed_speak_against_no_part).

--- a/crates/cicadalock-core/src/quarantine/broken_attempts.rs
+++ b/crates/cicadalock-core/src/quarantine/broken_attempts.rs
@@ -75,6 +75,28 @@
         }
     }
 
+    /// Records that the endpoint broke a request that was sent to it after its crash; returns whether that
+    /// shows that it was back.
+    ///
+    /// It was if it began an answer, or held the request for as long as one that crashes it. A proxy in
+    /// front of an endpoint that is down ends the connection sooner.
+    pub(super) fn record_held(
+        &mut self,
+        endpoint: &EndpointId,
+        started: ClockTime,
+        has_begun: bool,
+        now: ClockTime,
+    ) -> bool {
+        let restarted = self
+            .crash_time(endpoint)
+            .is_some_and(|crashed| crashed.age(started) >= RESTART_TIME);
+        let is_back = has_begun || (restarted && now.since(started) >= CRASH_TIME);
+        if is_back {
+            self.crashes.remove(endpoint);
+        }
+        is_back
+    }
+
     /// Records that the endpoint has crashed; removes and returns the attempts that may have caused it.
     ///
     /// It crashed when the first incomplete answer ended, or else the last of those that look whole.
--- a/crates/cicadalock-core/src/quarantine/crash_guard.rs
+++ b/crates/cicadalock-core/src/quarantine/crash_guard.rs
@@ -235,8 +235,14 @@
         if let Some(crashed) = self.broken.crash_time(endpoint) {
             if attempt.request.started < crashed {
                 self.report(endpoint, vec![attempt], now);
+                return false;
+            }
+            if !self
+                .broken
+                .record_held(endpoint, started, begun.is_some(), now)
+            {
+                return false;
             }
-            return false;
         }
         self.broken.push(endpoint, attempt);
         !is_whole && self.broken.begin_check(endpoint, now)
