fix(gateway): a refusal without a request id on a kept connection is not taken for the next answer

It can happen here: an answer that states that the request did not run was accepted without the id of its request, so that one from before counted for the next request, which was then sent to a second endpoint while the first ran it. Change: the id may be missing only from the first answer on a connection. Measured: a_refusal_written_again_..., before: request b0-0 ran twice; after: passed.

--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -196,7 +196,7 @@
         }
     };
     let fields = D::decode_answer_fields(response.status().as_u16(), response.headers());
-    check_answer(request, &response, &fields)?;
+    check_answer(request, &response, &fields, connection.is_reused)?;
     if !fields.is_misdirected {
         shared.record_limit(assignment, &fields);
     }
@@ -252,18 +252,19 @@
 /// Checks that an answer belongs to the request; any other answer must not reach the caller.
 ///
 /// The answer must echo the request id. The id may be missing if the endpoint states that it did not
-/// run the request, or if another incarnation answers. A success status must come with the endpoint's
-/// signature.
+/// run the request, or if another incarnation answers; but not on a connection that had other answers
+/// before, where it may be one of those again. A success status must come with the endpoint's signature.
 fn check_answer(
     request: &CallerRequest,
     response: &Response<Incoming>,
     fields: &AnswerFields,
+    is_reused: bool,
 ) -> Result<(), AttemptFailure> {
     let broken = |detail: String| Err(AttemptFailure::new(AttemptEnd::Broken, detail));
     match &fields.request {
         Some(number) if *number == request.number => {}
         Some(number) => return broken(format!("the answer is for request `{number}`")),
-        None if fields.is_not_run || fields.is_misdirected => {}
+        None if !is_reused && (fields.is_not_run || fields.is_misdirected) => {}
         None => return broken("the answer has no request id".to_owned()),
     }
     if response.status().is_success() && !fields.is_signed {
