fix(gateway): a stream is resumed only by a stream of the same content type

Change: the answer must be 200 and have the content type of the stream's first answer; otherwise the attempt failed, and the next endpoint is asked or the stream breaks off visibly.

--- a/crates/cicadalock-node/src/gateway/stream_part.rs
+++ b/crates/cicadalock-node/src/gateway/stream_part.rs
@@ -4,8 +4,9 @@
 use cicadalock_core::gateway::{AttemptEnd, GatewayCall};
 use cicadalock_core::time::ClockTime;
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
 
 use super::attempt::{
     AttemptFailure, AttemptProgress, CallerRequest, EndpointAnswer, attempt, complete_end,
@@ -65,6 +66,7 @@
         request: Rc<CallerRequest>,
         mut guard: RequestGuard,
         after: Option<String>,
+        content_type: Option<HeaderValue>,
     ) -> ResumeEnd {
         let assignment = match guard.verdict().await {
             Some(StartVerdict::Start(assignment)) => assignment,
@@ -75,11 +77,17 @@
         let time_left = request.deadline.since(shared.now());
         let after = after.as_deref();
         match attempt::<D>(&shared, &request, &assignment, after, time_left).await {
-            Ok(answer) if answer.response.status().is_success() => {
+            Ok(answer)
+                if answer.response.status() == StatusCode::OK
+                    && answer.response.headers().get(CONTENT_TYPE) == content_type.as_ref() =>
+            {
                 ResumeEnd::Begun(Self::new(answer, guard, progress))
             }
             Ok(answer) => {
-                let detail = format!("status {}", answer.response.status().as_u16());
+                let status = answer.response.status().as_u16();
+                let found = answer.response.headers().get(CONTENT_TYPE);
+                let detail =
+                    format!("status {status}, content type {found:?}, in place of a stream");
                 let failure = AttemptFailure::new(AttemptEnd::Failed, detail);
                 ResumeEnd::Failed(guard, progress, failure)
             }
@@ -101,6 +109,10 @@
         }
     }
 
+    pub(super) fn content_type(&self) -> Option<&HeaderValue> {
+        self.headers.get(CONTENT_TYPE)
+    }
+
     /// Returns whether the end of the body is told from the end of its connection.
     pub(super) fn is_framed(&self) -> bool {
         complete_end(&self.headers) == AttemptEnd::Complete
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -6,6 +6,7 @@
 use cicadalock_core::id::EndpointId;
 use cicadalock_core::serving::RouteConfig;
 use cicadalock_core::time::ClockTime;
+use hyper::header::HeaderValue;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
@@ -53,6 +54,8 @@
     standby_due: Option<ClockTime>,
     /// When a limit was first found to have passed while bytes were waiting.
     overdue_since: Option<ClockTime>,
+    /// Content type of the answer that began the stream; all parts have the same.
+    content_type: Option<HeaderValue>,
     /// The part whose events are forwarded; `None` once it has failed.
     current: Option<StreamPart>,
     /// A later part that has begun while the current one is silent.
@@ -122,6 +125,7 @@
             standby_due: limits.standby.map(|delay| now + delay),
             overdue_since: None,
             endpoint: part.progress.endpoint.clone(),
+            content_type: part.content_type().cloned(),
             current: Some(part),
             standby: None,
             resuming: JoinSet::new(),
@@ -324,6 +328,7 @@
             Rc::clone(&self.request),
             guard,
             after.map(str::to_owned),
+            self.content_type.clone(),
         ));
     }
 
