feat(gateway): endpoints that say that they leave, or ask for a pause, get no requests

Server-Leaving in any answer, a stream's from its head, holds for the incarnation, also while the list says ready, while the entry lapses and comes back, and until the list names another start under the id; streams that run there go on. Retry-After of a 503 holds for the router that was asked, for every kind of request, through changes of the entry; requests that wait for the endpoint are placed elsewhere. If all endpoints that could be used are paused, callers are refused at once with the shortest pause. Neither is believed of a 421 or of an answer to a request that was sent before the incarnation was known. Measured: endpoint_notices.rs, 13 of 13 cases red before, none after. Not covered: the soak does not send either field yet.

--- a/crates/cicadalock-core/src/gateway/endpoint_state.rs
+++ b/crates/cicadalock-core/src/gateway/endpoint_state.rs
@@ -25,6 +25,12 @@
     pub(super) is_presumed_gone: bool,
     /// The limit that it named; `None` if it never did.
     pub(super) limit: Option<EndpointLimit>,
+    /// When this incarnation became known.
+    pub(super) known_since: ClockTime,
+    /// Whether it said in an answer that it leaves.
+    pub(super) is_leaving: bool,
+    /// End of the pause that it asked for.
+    pub(super) paused_until: ClockTime,
 }
 
 /// Last reported state of an endpoint's desk, with the requests asked since added to the forecast.
@@ -40,7 +46,11 @@
 }
 
 impl EndpointState {
-    pub(super) fn new(listed: ListedEndpoint, traits: Option<&ServiceTraits>) -> Self {
+    pub(super) fn new(
+        listed: ListedEndpoint,
+        traits: Option<&ServiceTraits>,
+        known_since: ClockTime,
+    ) -> Self {
         let limits = gate_limits(&listed, traits);
         let is_presumed_gone = listed.is_missing();
         Self {
@@ -52,6 +62,9 @@
             is_replaced: false,
             is_presumed_gone,
             limit: None,
+            known_since,
+            is_leaving: false,
+            paused_until: ClockTime::default(),
         }
     }
 
@@ -75,7 +88,19 @@
 
     /// Returns whether new requests may be sent to the endpoint at `now`.
     pub(super) fn is_usable(&self, now: ClockTime) -> bool {
-        self.listed.state.is_available(now) && !self.is_replaced && !self.is_presumed_gone
+        self.takes_requests(now) && !self.is_paused(now)
+    }
+
+    /// Returns whether the endpoint takes new requests at `now`, or will after its pause.
+    pub(super) fn takes_requests(&self, now: ClockTime) -> bool {
+        self.listed.state.is_available(now)
+            && !self.is_replaced
+            && !self.is_presumed_gone
+            && !self.is_leaving
+    }
+
+    pub(super) fn is_paused(&self, now: ClockTime) -> bool {
+        now < self.paused_until
     }
 
     pub(super) fn is_suspect(&self, now: ClockTime) -> bool {
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::action::{GatewayAction, RefusalDetail, RefusalReason, RetryDenial};
@@ -83,6 +84,8 @@
     pub(super) config_version: Option<u64>,
     pub(super) config_check: ConfigCheck,
     pub(super) tally: CustomerTally,
+    /// Endpoints no longer listed that said that they leave, with the start of their process.
+    pub(super) left: VecDeque<(EndpointId, u64)>,
 }
 
 /// Retry budget and prefill statistics of one service.
@@ -196,6 +199,7 @@
             config_version: None,
             config_check: ConfigCheck::default(),
             tally: CustomerTally::default(),
+            left: VecDeque::new(),
         }
     }
 
@@ -212,11 +216,13 @@
                 }
                 _ => {
                     self.memory.forget(id);
-                    let state = EndpointState::new(listed.clone(), traits);
+                    let mut state = EndpointState::new(listed.clone(), traits, now);
+                    state.is_leaving = self.has_left(id, listed.started);
                     self.endpoints.insert(id.clone(), state);
                 }
             }
         }
+        self.remember_leaving(|id| list.contains_key(id));
         self.endpoints.retain(|id, _| list.contains_key(id));
         self.memory.retain(|id| list.contains_key(id));
         self.recognize_lapses();
@@ -462,7 +468,8 @@
             return;
         }
         let Some(plan) = self.plan(&call, now) else {
-            let retry_after = NO_ENDPOINT_RETRY_AFTER;
+            let pause = self.shortest_pause(&call.service, now);
+            let retry_after = pause.unwrap_or(NO_ENDPOINT_RETRY_AFTER);
             self.refuse_here(id, &call, RefusalReason::NoEndpoint, retry_after);
             return;
         };
@@ -580,7 +587,7 @@
     }
 
     /// Places waiting requests again whose endpoint is no longer usable.
-    fn reassign_stranded(&mut self, now: ClockTime) {
+    pub(super) fn reassign_stranded(&mut self, now: ClockTime) {
         let stranded: Vec<RequestId> = self
             .requests
             .iter()
--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -199,6 +199,7 @@
     check_answer(request, &response, &fields, connection.is_reused)?;
     if !fields.is_misdirected {
         shared.record_limit(assignment, &fields);
+        shared.record_notices(assignment, &fields);
     }
     if let Some((running, waiting)) = fields.load {
         let mut machine = shared.machine.borrow_mut();
--- a/crates/cicadalock-node/src/gateway/dialect.rs
+++ b/crates/cicadalock-node/src/gateway/dialect.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use cicadalock_core::desk::{RateError, RequestRate};
+use cicadalock_core::gateway::{EndpointPause, PauseError};
 use cicadalock_core::id::{CustomerName, EndpointId};
 use cicadalock_core::serving::PromptShape;
 use hyper::HeaderMap;
@@ -92,4 +93,9 @@
     /// Requests that the endpoint takes from all routers together, if it names a limit; an error if
     /// what it names is not a rate.
     pub limit: Option<Result<RequestRate, RateError>>,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the endpoint, which turned the request away, wants no other from this router; an error
+    /// if what it names is not a time.
+    pub pause: Option<Result<EndpointPause, PauseError>>,
 }
--- a/crates/cicadalock-node/src/gateway/mod.rs
+++ b/crates/cicadalock-node/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod dialect;
 mod endpoint_change;
 mod endpoint_limits;
+mod endpoint_notices;
 mod event_splitter;
 mod gateway_body;
 mod gateway_metrics;
