test(trial): the soak repeats lookups that crash application endpoints

Check: undisturbed routers send endpoints at most three of them later than the contact time after the third crash. Parts and their bound are as before.

--- a/crates/trial/src/cli/flags.rs
+++ b/crates/trial/src/cli/flags.rs
@@ -52,6 +52,8 @@
             optional --seconds seconds: u64
             /// Multiple of the smallest number of processes, which is 6. Default: 1.
             optional --scale scale: usize
+            /// Have lookups crash applications beside the parts of prompts that crash engines.
+            optional --crashing-lookups
             /// Folder for settings and logs; those of seeds that violate no guarantee are removed.
             optional --folder folder: PathBuf
         }
--- a/crates/trial/src/cli/run.rs
+++ b/crates/trial/src/cli/run.rs
@@ -149,6 +149,7 @@
             seed,
             length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
             size: SoakSize::scaled(flags.scale.unwrap_or(1).clamp(1, MAX_SOAK_SCALE)),
+            has_crashing_lookups: flags.crashing_lookups,
             program: std::env::current_exe()?,
             folder: folder.join(format!("seed-{seed}")),
         };
--- a/crates/trial/src/soak/guarantees.rs
+++ b/crates/trial/src/soak/guarantees.rs
@@ -15,8 +15,10 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_EXTRA: f64 = 5.0;
 
-/// Crashes by one part after which it has to be known, and the requests with it that may come later.
+/// Crashes by one part, and by one repeated request, after which it has to be known, and the requests with it
+/// that may come later.
 const CRASH_LIMIT: usize = 5;
+const REQUEST_CRASH_LIMIT: usize = 3;
 const LATE_CRASH_LIMIT: usize = 3;
 
 /// Time within which an endpoint crashes after it began to run a request that crashes it.
@@ -323,7 +325,10 @@
         let status = call.answer.as_ref().map(|answer| answer.status);
         let number = &call.number;
         let is_served = match call.kind {
-            CallKind::Leaving | CallKind::Crashing | CallKind::Revoked => true,
+            CallKind::Leaving
+            | CallKind::Crashing
+            | CallKind::CrashingLookup
+            | CallKind::Revoked => true,
             // Every endpoint breaks off its response, which the router reports as 502.
             CallKind::Broken => status == Some(502),
             _ => status == Some(200),
@@ -429,30 +434,51 @@
         }
     }
     for (part, runs) in parts.iter() {
-        let mut crashes: Vec<Instant> = runs
-            .iter()
-            .filter(|(endpoint, run)| evidence.is_crash_visible(endpoint, run))
-            .map(|(_, run)| run.started_at)
-            .collect();
-        crashes.sort();
-        let Some(fifth) = crashes.get(CRASH_LIMIT - 1) else {
-            continue;
-        };
-        let due = *fifth + Duration::from_millis(HostSettings::CONTACT_MS);
-        let late = runs
-            .iter()
-            .filter(|(_, run)| run.started_at > due && evidence.is_router_in_touch(run));
-        let late = late.count();
-        if late > LATE_CRASH_LIMIT {
-            violations.push(GuaranteeViolation {
-                guarantee: "a part that crashes endpoints is kept from them",
-                observed: format!(
-                    "{late} requests with {part} reached endpoints late, {} in all",
-                    runs.len()
-                ),
-            });
+        let guarantee = "a part that crashes endpoints is kept from them";
+        let violation = find_late_crash_runs(evidence, guarantee, part, runs, CRASH_LIMIT);
+        violations.extend(violation);
+    }
+    let mut requests: SortedMap<&str, Vec<(&str, &EndpointRun)>> = SortedMap::new();
+    for (endpoint, run) in &evidence.runs {
+        let path = run.head.split(' ').nth(1).unwrap_or_default();
+        if path.starts_with("/look/bad") {
+            let runs = requests.get_or_insert_with(path, Vec::new);
+            runs.push((endpoint, run));
         }
     }
+    for (path, runs) in requests.iter() {
+        let guarantee = "a request that crashes endpoints is kept from them";
+        let violation = find_late_crash_runs(evidence, guarantee, path, runs, REQUEST_CRASH_LIMIT);
+        violations.extend(violation);
+    }
+}
+
+/// Returns the violation if more than a few of `runs`, which crash endpoints, came late.
+fn find_late_crash_runs(
+    evidence: &SoakEvidence,
+    guarantee: &'static str,
+    cause: &str,
+    runs: &[(&str, &EndpointRun)],
+    limit: usize,
+) -> Option<GuaranteeViolation> {
+    let mut crashes: Vec<Instant> = runs
+        .iter()
+        .filter(|(endpoint, run)| evidence.is_crash_visible(endpoint, run))
+        .map(|(_, run)| run.started_at)
+        .collect();
+    crashes.sort();
+    let due = *crashes.get(limit - 1)? + Duration::from_millis(HostSettings::CONTACT_MS);
+    let late = runs
+        .iter()
+        .filter(|(_, run)| run.started_at > due && evidence.is_router_in_touch(run));
+    let late = late.count();
+    (late > LATE_CRASH_LIMIT).then(|| GuaranteeViolation {
+        guarantee,
+        observed: format!(
+            "{late} requests with {cause} reached endpoints late, {} in all",
+            runs.len()
+        ),
+    })
 }
 
 impl SoakEvidence {
--- a/crates/trial/src/soak/lasting_guarantees.rs
+++ b/crates/trial/src/soak/lasting_guarantees.rs
@@ -176,8 +176,11 @@
 
 impl CallRecord {
     const fn is_answer_owed(&self) -> bool {
-        use CallKind::{Broken, Crashing, Leaving, Revoked};
-        !matches!(self.kind, Leaving | Broken | Crashing | Revoked)
+        use CallKind::{Broken, Crashing, CrashingLookup, Leaving, Revoked};
+        !matches!(
+            self.kind,
+            Leaving | Broken | Crashing | CrashingLookup | Revoked
+        )
     }
 
     /// Returns whether the caller got a whole answer of an endpoint or a refusal.
--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -48,6 +48,8 @@
     Model,
     /// A stream from an endpoint that has a desk, with a part in its prompt that crashes endpoints.
     Crashing,
+    /// A lookup that crashes application endpoints, the same again and again.
+    CrashingLookup,
     /// May be retried, and every endpoint closes the connection in the middle of its response.
     Broken,
     /// A request whose caller disconnects while it runs.
@@ -96,6 +98,8 @@
     pub(super) token: AtomicU64,
     /// Number of the newest part that crashes endpoints; zero if none does.
     pub(super) crash_part: AtomicU64,
+    /// Whether some lookups crash application endpoints as well.
+    pub(super) has_crashing_lookups: bool,
     pub(super) should_stop: AtomicBool,
 }
 
@@ -110,6 +114,7 @@
                 | Self::Plan
                 | Self::Model
                 | Self::Crashing
+                | Self::CrashingLookup
                 | Self::Journey
                 | Self::Revoked
         )
@@ -313,7 +318,15 @@
     // Every other stream of engines, by the last digit of its number.
     let is_crashing =
         kind == CallKind::Model && crash_part > 0 && number.ends_with(['1', '5', '9', 'd']);
-    let text = if is_crashing {
+    let is_crashing_lookup = shared.has_crashing_lookups
+        && kind == CallKind::Lookup
+        && crash_part > 0
+        && number.ends_with(['1', '5', '9', 'd']);
+    let text = if is_crashing_lookup {
+        kind = CallKind::CrashingLookup;
+        let path = format!("/look/{}/ok", crash_part_text(crash_part));
+        request(&path, &number, &token_text(token))
+    } else if is_crashing {
         kind = CallKind::Crashing;
         let parts = [COMMON_PART, &crash_part_text(crash_part)];
         prompt_request(path, &number, &token_text(token), &parts)
--- a/crates/trial/src/soak/soak_run.rs
+++ b/crates/trial/src/soak/soak_run.rs
@@ -38,6 +38,8 @@
     pub length: Duration,
     /// Numbers of processes and stand-ins.
     pub size: SoakSize,
+    /// Whether parts that crash engines come with lookups that crash applications.
+    pub has_crashing_lookups: bool,
     /// Trial binary, which starts the routers and desks with its `cicadalock` subcommand.
     pub program: PathBuf,
     /// Folder for the settings and logs of the processes; created if missing.
@@ -69,10 +71,12 @@
     std::fs::create_dir_all(&options.folder)?;
     let plan = FaultPlan::draw(options.seed, options.length, options.size);
     let mut testbed = SoakTestbed::start(&options.program, &options.folder, options.size)?;
+    testbed.has_crashing_lookups = options.has_crashing_lookups;
     let shared = Arc::new(CallerShared {
         records: Mutex::default(),
         token: AtomicU64::new(testbed.token()),
         crash_part: AtomicU64::new(0),
+        has_crashing_lookups: options.has_crashing_lookups,
         should_stop: AtomicBool::new(false),
     });
     let callers = start_callers(&shared, &testbed.callers(), options.seed);
--- a/crates/trial/src/soak/soak_testbed.rs
+++ b/crates/trial/src/soak/soak_testbed.rs
@@ -88,6 +88,8 @@
     pub(super) limits: Vec<NamedLimit>,
     /// Number of parts so far that crash endpoints.
     crash_parts: u64,
+    /// Whether lookups with the name of such a part in their path crash endpoints, too.
+    pub(super) has_crashing_lookups: bool,
     network: AddressBlock,
 }
 
@@ -181,6 +183,7 @@
             unexpected_exits: Vec::new(),
             limits: Vec::new(),
             crash_parts: 0,
+            has_crashing_lookups: false,
             network,
         };
         for index in 0..size.endpoints {
@@ -438,7 +441,12 @@
     fn add_crash_part(&mut self, style: CrashStyle) {
         self.crash_parts += 1;
         let rules: Vec<CrashRule> = (1..=self.crash_parts)
-            .map(|number| CrashRule::part(&crash_part_text(number), style))
+            .flat_map(|number| {
+                let text = crash_part_text(number);
+                let lookup = CrashRule::path(&text, CrashStyle::NoHead);
+                let lookup = self.has_crashing_lookups.then_some(lookup);
+                std::iter::once(CrashRule::part(&text, style)).chain(lookup)
+            })
             .collect();
         for endpoint in &self.endpoints {
             endpoint.crash_on(&rules);
--- a/crates/trial/tests/soak.rs
+++ b/crates/trial/tests/soak.rs
@@ -227,6 +227,40 @@
     assert_eq!(violated_guarantees(&evidence), expected);
 }
 
+/// Each case: the number of crashes, 100 ms apart, by one lookup, and of lookups after the contact time.
+#[parameterized(
+    a_few_late_requests = { 3, 3, &[] },
+    more_late_requests = { 3, 4, &["a request that crashes endpoints is kept from them"] },
+    too_few_crashes = { 2, 4, &[] },
+)]
+fn finds_a_crashing_request_that_still_reaches_endpoints(
+    crashes: u64,
+    late: u64,
+    expected: &[&str],
+) {
+    let start = Instant::now();
+    let mut evidence = SoakEvidence {
+        desks: 1,
+        ..SoakEvidence::default()
+    };
+    let from_crashes = (0..crashes).map(|index| index * 100);
+    let times = from_crashes.chain((0..late).map(|index| 2_500 + index * 100));
+    for (index, millis) in times.enumerate() {
+        let mut record = call(CallKind::CrashingLookup, 200, "", false);
+        record.number = format!("a-{index:x}");
+        record.answer = None;
+        let (endpoint, mut run) = run(&record.number, None);
+        run.head = run.head.replacen("GET /", "GET /look/bad1/ok", 1);
+        run.started_at = start + Duration::from_millis(millis);
+        if (index as u64) < crashes {
+            evidence.crashes.push((endpoint.clone(), run.started_at));
+        }
+        evidence.calls.push(record);
+        evidence.runs.push((endpoint, run));
+    }
+    assert_eq!(violated_guarantees(&evidence), expected);
+}
+
 /// A journey of router 2 that ran at `i-4`, answered after `ended_ms`.
 fn journey(status: u16, body: &str, is_whole: bool, ended_ms: u64) -> SoakEvidence {
     let mut record = call(CallKind::Journey, status, body, is_whole);
@@ -503,11 +537,23 @@
     a_router_that_starts_before_the_operator_writes_again = { 505 },
 )]
 fn a_short_soak_violates_no_guarantee(seed: u64) {
+    run_short_soak(seed, false);
+}
+
+#[parameterized(
+    seed_28 = { 28 },
+)]
+fn a_short_soak_with_lookups_that_crash_applications_violates_no_guarantee(seed: u64) {
+    run_short_soak(seed, true);
+}
+
+fn run_short_soak(seed: u64, has_crashing_lookups: bool) {
     let folder = tempfile::tempdir().expect("create a temporary folder");
     let options = SoakOptions {
         seed,
         length: Duration::from_secs(5),
         size: SoakSize::scaled(1),
+        has_crashing_lookups,
         program: PathBuf::from(env!("CARGO_BIN_EXE_trial")),
         folder: folder.path().to_owned(),
     };
