--- a/crates/cicadalock-core/tests/quarantine.rs
+++ b/crates/cicadalock-core/tests/quarantine.rs
@@ -647,3 +647,25 @@
         .collect();
     assert_eq!(received, [report.requests]);
 }
+
+/// Endpoints cut the answers to request 5, answer others, and crash on request 1 soon after, before they are
+/// checked.
+#[test]
+fn a_request_whose_answers_are_cut_is_not_refused_for_crashes_soon_after() {
+    let mut guard = CrashGuard::default();
+    let lose = |guard: &mut CrashGuard, number: u32, request: u8, started: u64, ended: u64| {
+        let times = (at(started), None);
+        let (endpoint, suspects) = (endpoint(number), [digest(request)]);
+        guard.record_break(&endpoint, &service(), &suspects, times, false, at(ended))
+    };
+    for number in 0..3 {
+        let start = u64::from(number) * 600;
+        lose(&mut guard, number, 5, start, start + 20);
+        guard.record_answer(&endpoint(number), at(start + 10), at(start + 130));
+        lose(&mut guard, number, 1, start + 140, start + 200);
+        guard.record_crash(&endpoint(number), at(start + 210));
+    }
+    guard.update(at(3_000));
+    assert!(!guard.refuses(&service(), &[digest(5)]));
+    assert!(guard.refuses(&service(), &[digest(1)]));
+}
