fix(gateway): a sound prompt is not refused for another request on its path that crashes endpoints

Cause: digests leave header fields out, and requests without a body whose prompts differ had one digest, so that what one of them crashed counted against all. A trial that put the shared parts into the digest failed two other tests and was left out.

--- a/crates/cicadalock-core/src/gateway/call.rs
+++ b/crates/cicadalock-core/src/gateway/call.rs
@@ -120,10 +120,10 @@
         self
     }
 
-    /// Sets the digest by which the request is known if its caller sends it again.
+    /// Sets the digest by which the request is known if its caller sends it again; `None` if it is not.
     #[must_use]
-    pub fn digest(mut self, digest: RequestDigest) -> Self {
-        self.call.suspects.push(digest.into());
+    pub fn digest(mut self, digest: Option<RequestDigest>) -> Self {
+        self.call.suspects.extend(digest.map(Suspect::from));
         self
     }
 
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -314,12 +314,15 @@
         };
         let customer = self.request.customer.as_ref();
         let customer = customer.map_or(CustomerId::new(0), CustomerId::of);
+        let prompt = self.fields.prompt.take().filter(|_| self.route.has_prompt);
+        // Prompts may differ in header fields only, which the digest leaves out.
+        let digest = prompt.is_none().then_some(self.request.digest);
         let call = GatewayCall::builder(service, customer, self.arrived)
-            .prompt(self.fields.prompt.take().filter(|_| self.route.has_prompt))
+            .prompt(prompt)
             .objective(self.route.objective, self.route.pause)
             .deadline(self.request.deadline)
             .attempts(self.route.may_retry(), self.route.max_attempts)
-            .digest(self.request.digest)
+            .digest(digest)
             .build();
         let mut guard = RequestGuard::submit(&self.shared, call);
         loop {
