fix(gateway): a second return of the store is read, and a copy behind what is known confirms no tokens

Cause: a lower revision within 1 s of the last listing for that reason was dropped, so that a store without an era that came back twice was followed from a revision that it had not reached. It is postponed now and read once the second has passed, whatever the answers in between say. And a copy that is not ahead of what the router had read lacks all that was written since, a revocation too; it confirms nothing now until a configuration is written or 2.2 s have passed (before: only at routers that had read nothing for 3.5 s). A prompt reader then serves tokens on for 3.2 s of its 3.5 s.

fix(core): attempts that an endpoint survived are no suspects of a later crash

Cause: an attempt that ended without a whole answer stayed a suspect for 2 s unless its endpoint was checked, at most once in 0.3 s. An answer to a request from before its end, 0.1 s later, shows that the endpoint runs.

--- a/crates/cicadalock-core/src/quarantine/broken_attempts.rs
+++ b/crates/cicadalock-core/src/quarantine/broken_attempts.rs
@@ -12,6 +12,10 @@
 /// Time after the end of an answer within which a crash breaks the other connections.
 const CRASH_TIME: Duration = Duration::from_millis(20);
 
+/// Time after a lost request within which answers that the endpoint sent before it crashed may still
+/// arrive.
+const ANSWER_TRANSIT_TIME: Duration = Duration::from_millis(100);
+
 /// Shortest time in which an endpoint that crashed is back.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 
@@ -120,8 +124,8 @@
         self.attempts.remove(endpoint);
     }
 
-    /// Removes and returns the answers that look whole and that the endpoint has survived, as it sends an
-    /// answer now to a request sent at `started`.
+    /// Removes the attempts that the endpoint has survived, as it sends an answer now to a request sent at
+    /// `started`; returns those whose answers look whole.
     pub(super) fn take_survived(
         &mut self,
         endpoint: &EndpointId,
@@ -134,12 +138,17 @@
         // Either on a connection from before the end, or before it can have started again.
         let survived = |attempt: &BrokenAttempt| {
             let age = attempt.ended.age(now);
-            attempt.begun.is_some()
-                && age > CRASH_TIME
-                && (started < attempt.ended || age < RESTART_TIME)
+            let transit = if attempt.begun.is_some() {
+                CRASH_TIME
+            } else {
+                ANSWER_TRANSIT_TIME
+            };
+            age > transit && (started < attempt.ended || age < RESTART_TIME)
         };
-        let (taken, kept) = std::mem::take(attempts).into_iter().partition(survived);
+        let (mut taken, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(attempts).into_iter().partition(survived);
         *attempts = kept;
+        taken.retain(|attempt| attempt.begun.is_some());
         taken
     }
 
--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -103,8 +103,10 @@
 ///
 /// A token that was revoked in the lost seconds is valid in the copy until the operators have written
 /// again. A router that had read everything until shortly before knows of the revocation, or learns of it
-/// within the bound. One that had not for longer than [`FollowerTimes::token_age`] may have missed it, and
-/// does not count the copy as a confirmation until a configuration is written or a time has passed.
+/// within the bound. One that had not for longer than [`FollowerTimes::token_age`] may have missed it. So
+/// may any router if the copy is not ahead of what it had read: the operators write again what was lost
+/// since. In both cases the copy does not count as a confirmation until a configuration is written or a
+/// time has passed.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
@@ -115,6 +117,8 @@
     must_list: bool,
     /// When a revision that went back was the reason for the last listing.
     revision_back_at: Option<ClockTime>,
+    /// Whether a revision went back again too soon after that listing for another one.
+    is_listing_postponed: bool,
     /// The last problem with the store's era that was reported.
     era_problem: Option<EraError>,
     config: ConfigRecord,
@@ -156,6 +160,7 @@
             position: None,
             must_list: true,
             revision_back_at: None,
+            is_listing_postponed: false,
             era_problem: None,
             config: ConfigRecord::default(),
             endpoints: SortedMap::new(),
@@ -178,6 +183,10 @@
     pub fn step(&mut self, clock: impl Fn() -> ClockTime) -> StoreUpdate {
         let started_at = clock();
         let mut update = StoreUpdate::default();
+        if self.is_listing_postponed && self.is_listing_due(started_at) {
+            self.revision_back_at = Some(started_at);
+            self.must_list = true;
+        }
         let read = match self.position.filter(|_| !self.must_list) {
             None => {
                 let listed = self.read_all(clock(), &mut update);
@@ -224,7 +233,12 @@
         update: &StoreUpdate,
     ) -> ClockTime {
         let was_written = std::mem::take(&mut self.has_config_write);
-        if update.restored.is_some() && now.since(self.tokens_confirmed_at) > self.times.token_age {
+        let is_late = now.since(self.tokens_confirmed_at) > self.times.token_age;
+        // A copy that is not ahead of what is known lacks all that was written since the last read.
+        let may_lack_revocation = update
+            .restored
+            .is_some_and(|restored| is_late || !restored.is_ahead());
+        if may_lack_revocation {
             self.tokens_held_until = Some(now + REWRITE_TIME);
         }
         self.tokens_held_until = self
@@ -320,6 +334,7 @@
         update.is_listing = true;
         self.position = Some(present);
         self.must_list = false;
+        self.is_listing_postponed = false;
     }
 
     /// Returns the era, and reports once why it is unknown.
@@ -353,8 +368,9 @@
             StoreCourse::Forward => false,
             StoreCourse::OtherEra => true,
             StoreCourse::RevisionBack => {
-                let last = self.revision_back_at;
-                let is_due = last.is_none_or(|last| now.since(last) >= REVISION_BACK_INTERVAL);
+                let is_due = self.is_listing_due(now);
+                // The answers that follow may have passed the known revision by then.
+                self.is_listing_postponed = !is_due;
                 if is_due {
                     self.revision_back_at = Some(now);
                 }
@@ -363,6 +379,12 @@
         }
     }
 
+    /// Returns whether a revision that went back may be the reason for a listing.
+    fn is_listing_due(&self, now: ClockTime) -> bool {
+        let last = self.revision_back_at;
+        last.is_none_or(|last| now.since(last) >= REVISION_BACK_INTERVAL)
+    }
+
     /// Reads changes and returns the time up to which all changes are known, or `None` if everything
     /// must be read again.
     fn read_changes(
--- a/crates/cicadalock-node/src/gateway/store_position.rs
+++ b/crates/cicadalock-node/src/gateway/store_position.rs
@@ -29,6 +29,13 @@
     pub present: StorePosition,
 }
 
+impl StoreRestore {
+    /// Returns whether the copy has a higher revision than the one read before.
+    pub(super) fn is_ahead(&self) -> bool {
+        self.present.revision > self.former.revision
+    }
+}
+
 impl StorePosition {
     /// Compares an answer of the store with this position.
     ///
