fix(gateway): endpoints that read a long body late, and second endpoints that send only a head

Causes, two: the kernel ends a connection whose peer keeps its window closed for the user timeout of 1 s, so that an endpoint that read a body of 1 MB after 2.5 s got 502. Bodies that do not fit a first window of 64 KiB may stay unacknowledged until the request's deadline now; a host that is gone is then found by the second attempt or the deadline. And before the head of a first, silent attempt the bare head of a second endpoint ended the first; the second has to send a whole event now (EndpointAnswer::read_first_event).

--- a/crates/cicadalock-node/src/gateway/attempt.rs
+++ b/crates/cicadalock-node/src/gateway/attempt.rs
@@ -14,7 +14,9 @@
 
 use super::connection_pool::{EndpointConnection, connect};
 use super::dialect::{AnswerFields, ForwardContext, GatewayDialect};
+use super::event_splitter::EventSplitter;
 use super::shared::{EndpointAssignment, GatewayShared};
+use super::stream_part::{PartFrame, read_frame};
 
 /// Header fields that apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -66,6 +68,8 @@
 pub(super) struct EndpointAnswer {
     pub(super) endpoint: EndpointId,
     pub(super) response: Response<Incoming>,
+    /// What was read of the body already.
+    pub(super) read_ahead: Vec<Bytes>,
     pub(super) connection: EndpointConnection,
 }
 
@@ -97,6 +101,34 @@
     }
 }
 
+impl EndpointAnswer {
+    /// Reads a stream until its first event is complete, and keeps what was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream ended without an event.
+    pub(super) async fn read_first_event(&mut self) -> Result<(), String> {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let bytes = match read_frame(self.response.body_mut()).await {
+                PartFrame::Data(bytes) => bytes,
+                PartFrame::End => {
+                    return Err("the stream ended without a complete event".to_owned());
+                }
+                PartFrame::Broken(detail) => return Err(detail),
+            };
+            let has_event = splitter.feed(&bytes).is_some();
+            self.read_ahead.push(bytes);
+            if has_event {
+                return Ok(());
+            }
+            if splitter.is_oversized() {
+                return Err("event exceeds the size limit".to_owned());
+            }
+        }
+    }
+}
+
 impl AttemptFailure {
     pub(super) fn new(end: AttemptEnd, detail: impl Into<String>) -> Self {
         Self {
@@ -176,7 +208,8 @@
     let response = loop {
         shared.wait_for_current_copy().await;
         ensure_usable(shared, assignment)?;
-        match connection.send(message).await {
+        let time_left = request.deadline.since(shared.now());
+        match connection.send(message, time_left).await {
             Ok(response) => break response,
             Err(mut error) => match error.take_message() {
                 // The endpoint closed the idle connection before any of the request was sent.
@@ -218,6 +251,7 @@
     Ok(EndpointAnswer {
         endpoint: assignment.endpoint.clone(),
         response,
+        read_ahead: Vec::new(),
         connection,
     })
 }
--- a/crates/cicadalock-node/src/gateway/connection_pool.rs
+++ b/crates/cicadalock-node/src/gateway/connection_pool.rs
@@ -8,7 +8,7 @@
 use cicadalock_core::id::EndpointId;
 use cicadalock_core::time::ClockTime;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
@@ -32,6 +32,12 @@
     user_timeout: Duration::from_secs(1),
 };
 
+/// Largest body that a receiver's kernel takes in whole before the endpoint reads it.
+///
+/// An endpoint that reads a larger one late closes its window meanwhile. The kernel ends a connection whose
+/// window stays closed for the user timeout, also if the endpoint is sound.
+const MAX_WINDOW_BYTES: u64 = 64 * 1024;
+
 /// Maximum time for which an idle connection is kept; an endpoint may announce a shorter one.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 
@@ -72,6 +78,7 @@
     address: SocketAddr,
     pub(super) is_reused: bool,
     gate: Rc<HeadGate>,
+    user_timeout: Duration,
     _driver: DriverHandle,
 }
 
@@ -81,11 +88,24 @@
 impl EndpointConnection {
     /// Sends a request and waits for the head of the answer.
     ///
-    /// Endless bytes in place of a head are not read, so that this waits until the caller gives up.
+    /// Endless bytes in place of a head are not read, so that this waits until the caller gives up. A long
+    /// body may stay unread for `time_left`.
     pub(super) async fn send(
         &mut self,
         message: Request<Full<Bytes>>,
+        time_left: Duration,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let size = message.body().size_hint().exact().unwrap_or_default();
+        let shortest = ENDPOINT_TIMEOUTS.user_timeout;
+        let user_timeout = if size > MAX_WINDOW_BYTES {
+            shortest.max(time_left)
+        } else {
+            shortest
+        };
+        if user_timeout != self.user_timeout {
+            self.user_timeout = user_timeout;
+            self.gate.set_user_timeout(user_timeout);
+        }
         self.gate.expect_head();
         let response = self.sender.try_send_request(message).await?;
         self.gate.lift();
@@ -202,6 +222,7 @@
         address,
         is_reused: false,
         gate,
+        user_timeout: ENDPOINT_TIMEOUTS.user_timeout,
         _driver: DriverHandle(driver.abort_handle()),
     })
 }
--- a/crates/cicadalock-node/src/gateway/head_gate.rs
+++ b/crates/cicadalock-node/src/gateway/head_gate.rs
@@ -3,8 +3,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
 /// Maximum number of bytes that are read from an endpoint before the head of its answer is complete.
 ///
@@ -17,12 +20,14 @@
     /// Bytes that may still be read; `None` without a limit.
     remaining: Cell<Option<usize>>,
     waker: RefCell<Option<Waker>>,
+    /// `TCP_USER_TIMEOUT` to set before the next bytes are written.
+    user_timeout: Cell<Option<Duration>>,
 }
 
 /// A stream whose reads stop once the limit of its [`HeadGate`] is reached.
 #[derive(Debug)]
-pub(super) struct GatedStream<S> {
-    stream: S,
+pub(super) struct GatedStream {
+    stream: TcpStream,
     gate: Rc<HeadGate>,
 }
 
@@ -31,6 +36,7 @@
         Rc::new(Self {
             remaining: Cell::new(None),
             waker: RefCell::new(None),
+            user_timeout: Cell::new(None),
         })
     }
 
@@ -39,6 +45,11 @@
         self.remaining.set(Some(MAX_HEAD_BYTES));
     }
 
+    /// Sets how long the bytes that are written next may stay unacknowledged.
+    pub(super) fn set_user_timeout(&self, timeout: Duration) {
+        self.user_timeout.set(Some(timeout));
+    }
+
     /// Lifts the limit, as the head is complete.
     pub(super) fn lift(&self) {
         self.remaining.set(None);
@@ -48,13 +59,20 @@
     }
 }
 
-impl<S> GatedStream<S> {
-    pub(super) const fn new(stream: S, gate: Rc<HeadGate>) -> Self {
+impl GatedStream {
+    pub(super) const fn new(stream: TcpStream, gate: Rc<HeadGate>) -> Self {
         Self { stream, gate }
     }
+
+    fn apply_user_timeout(&self) {
+        if let Some(timeout) = self.gate.user_timeout.take() {
+            // Without the option, the loss of the connection is detected later or earlier.
+            let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout));
+        }
+    }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for GatedStream<S> {
+impl AsyncRead for GatedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -79,12 +97,13 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for GatedStream<S> {
+impl AsyncWrite for GatedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_user_timeout();
         Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
     }
 
@@ -93,6 +112,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_user_timeout();
         Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
     }
 
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -475,7 +475,11 @@
             None => return Err(None),
         };
         self.log_start(&assignment, guard.number());
-        match self.try_endpoint::<D>(&assignment).await {
+        let outcome = match self.try_endpoint::<D>(&assignment).await {
+            AttemptOutcome::Stream(answer) => self.wait_for_event(answer).await,
+            outcome => outcome,
+        };
+        match outcome {
             AttemptOutcome::Failed(failure, answer) => {
                 Err(Some(self.fail(failure, answer, &assignment, &mut guard)))
             }
@@ -487,20 +491,39 @@
         }
     }
 
-    /// Makes one attempt at the endpoint that `assignment` names.
-    async fn try_endpoint<D: GatewayDialect>(
-        &self,
-        assignment: &EndpointAssignment,
-    ) -> AttemptOutcome {
+    /// Waits for the first event of a stream; its head alone does not tell that it goes on.
+    async fn wait_for_event(&self, mut answer: EndpointAnswer) -> AttemptOutcome {
+        let time_left = self.head_timeout();
+        let problem = tokio::select! {
+            biased;
+            read = answer.read_first_event() => match read {
+                Ok(()) => return AttemptOutcome::Stream(answer),
+                Err(problem) => problem,
+            },
+            () = self.shared.wait_for_silence(time_left) => "no event before the timeout".to_owned(),
+        };
+        AttemptOutcome::Failed(AttemptFailure::new(AttemptEnd::Broken, problem), None)
+    }
+
+    /// Returns the time until the request is given up unless an answer begins.
+    fn head_timeout(&self) -> Duration {
         let now = self.shared.now();
         let time_left = self.request.deadline.since(now);
-        let head_timeout = if self.route.is_streaming() {
+        if self.route.is_streaming() {
             let waited = now.since(self.arrived);
             let silence_left = self.route.silence_limit().saturating_sub(waited);
             silence_left.min(time_left)
         } else {
             time_left
-        };
+        }
+    }
+
+    /// Makes one attempt at the endpoint that `assignment` names.
+    async fn try_endpoint<D: GatewayDialect>(
+        &self,
+        assignment: &EndpointAssignment,
+    ) -> AttemptOutcome {
+        let head_timeout = self.head_timeout();
         let resume = self.fields.resume_after.as_deref();
         let answer = attempt::<D>(
             &self.shared,
--- a/crates/cicadalock-node/src/gateway/stream_part.rs
+++ b/crates/cicadalock-node/src/gateway/stream_part.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -23,6 +24,8 @@
     guard: RequestGuard,
     headers: HeaderMap,
     body: Incoming,
+    /// What was read of the body already.
+    read_ahead: VecDeque<Bytes>,
     connection: EndpointConnection,
 }
 
@@ -56,6 +59,7 @@
             guard,
             headers: head.headers,
             body,
+            read_ahead: answer.read_ahead.into(),
             connection: answer.connection,
         }
     }
@@ -97,16 +101,10 @@
 
     /// Waits for the next bytes. Cancelling loses nothing.
     pub(super) async fn frame(&mut self) -> PartFrame {
-        loop {
-            return match self.body.frame().await {
-                None => PartFrame::End,
-                Some(Err(error)) => PartFrame::Broken(error.to_string()),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => PartFrame::Data(bytes),
-                    Err(_) => continue,
-                },
-            };
+        if let Some(bytes) = self.read_ahead.pop_front() {
+            return PartFrame::Data(bytes);
         }
+        read_frame(&mut self.body).await
     }
 
     pub(super) fn content_type(&self) -> Option<&HeaderValue> {
@@ -148,3 +146,17 @@
         self.guard.finish_attempt(complete_end(&self.headers));
     }
 }
+
+/// Waits for the next bytes of a body. Cancelling loses nothing.
+pub(super) async fn read_frame(body: &mut Incoming) -> PartFrame {
+    loop {
+        return match body.frame().await {
+            None => PartFrame::End,
+            Some(Err(error)) => PartFrame::Broken(error.to_string()),
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => PartFrame::Data(bytes),
+                Err(_) => continue,
+            },
+        };
+    }
+}
