--- a/crates/cicadalock-core/src/gateway/mod.rs
+++ b/crates/cicadalock-core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod machine;
 mod placing;
 mod remote_desk;
+mod stop_window;
 
 pub use action::{GatewayAction, RefusalDetail, RefusalReason, RetryDenial};
 pub use call::{AttemptEnd, CallBuilder, GatewayCall};
@@ -25,3 +26,4 @@
 pub use host_admission::HostAdmission;
 pub use lag_meter::LagMeter;
 pub use machine::{GatewayBounds, GatewayMachine};
+pub use stop_window::StopWindow;
--- a/crates/cicadalock-node/src/gateway/daemon.rs
+++ b/crates/cicadalock-node/src/gateway/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use cicadalock_core::gateway::StopWindow;
 use cicadalock_core::id::StoreEra;
 use cicadalock_core::serving::ListingState;
 use serde_json::json;
@@ -150,7 +151,8 @@
         .times
         .grace
         .saturating_sub(EXIT_RESERVE);
-    shared.is_stopping.set(true);
+    let window = StopWindow::new(shared.now(), grace);
+    shared.stop_window.set(Some(window));
     shared
         .log
         .write("stopping", json!({"grace_ms": grace.as_millis() as u64}));
--- a/crates/cicadalock-node/src/gateway/serve.rs
+++ b/crates/cicadalock-node/src/gateway/serve.rs
@@ -121,7 +121,13 @@
         is_body_read.set(true);
         Ok(handler.run::<D>().await)
     };
-    let grace_over = || Err(CallerRefusal::may_have_run(502, "grace-over"));
+    let grace_over = || {
+        Err(if is_body_read.get() {
+            CallerRefusal::may_have_run(502, "grace-over")
+        } else {
+            CallerRefusal::not_run("grace-over", DEFAULT_RETRY_AFTER)
+        })
+    };
     // Pinned here, as a future that is passed on takes its space twice.
     let handled = end.run_until_cancelled(pin!(handled)).await;
     let mut response = handled
@@ -156,7 +162,7 @@
             "unanswered",
             json!({
                 "request": self.request,
-                "is_stopping": self.shared.is_stopping.get(),
+                "is_stopping": self.shared.is_stopping(),
                 "config": self.shared.config.borrow().as_ref().map(|config| config.version()),
                 "ms": self.shared.now().since(self.arrived).as_millis() as u64,
             }),
@@ -350,6 +356,11 @@
                     );
                 }
             };
+            let objective = (!self.route.is_streaming()).then_some(self.route.objective);
+            if !self.may_have_run && !self.shared.may_pass_on(objective) {
+                guard.finish_attempt(AttemptEnd::EndpointLeft);
+                return self.refuse(CallerRefusal::not_run("stopping-late", DEFAULT_RETRY_AFTER));
+            }
             self.log_start(&assignment, guard.number());
             let failed = match self.race::<D>(&assignment, &mut guard).await {
                 Ok(response) => return response,
@@ -806,14 +817,19 @@
         ..
     } = answer;
     let (parts, body) = response.into_parts();
+    let end = complete_end(&parts.headers);
+    let ends_with_connection = end == AttemptEnd::CompleteUnframed && !body.is_end_stream();
     let body = shared.answer_buffers.read(body).await?;
+    if ends_with_connection && body.is_empty() {
+        return Err("the answer has neither a length nor a body".to_owned());
+    }
     shared
         .pool
         .put(&endpoint, connection, &parts.headers, shared.now());
     Ok(BufferedAnswer {
         endpoint,
         status: parts.status,
-        end: complete_end(&parts.headers),
+        end,
         headers: caller_headers(&parts.headers),
         body,
     })
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 use cicadalock_core::collect::SortedMap;
 use cicadalock_core::gateway::{
     AttemptEnd, CustomerShare, GatewayAction, GatewayMachine, HostAdmission, RefusalDetail,
-    RefusalReason,
+    RefusalReason, StopWindow,
 };
 use cicadalock_core::id::{CustomerId, EndpointId, RequestId};
 use cicadalock_core::message::DeskMessage;
@@ -75,7 +75,8 @@
     pub(super) pool: ConnectionPool,
     pub(super) answer_buffers: AnswerBuffers,
     pub(super) desks: DeskLinks,
-    pub(super) is_stopping: Cell<bool>,
+    /// Set once the process was asked to stop.
+    pub(super) stop_window: Cell<Option<StopWindow>>,
     /// Whether a configuration is awaited that other routers have in force.
     is_waiting_for_config: Cell<bool>,
     /// Whether the number of callers' connections is close to its limit.
@@ -108,7 +109,7 @@
             pool: ConnectionPool::default(),
             answer_buffers: AnswerBuffers::default(),
             desks: DeskLinks::default(),
-            is_stopping: Cell::new(false),
+            stop_window: Cell::new(None),
             is_waiting_for_config: Cell::new(false),
             is_near_connection_limit: Cell::new(false),
             host: RefCell::new(HostAdmission::default()),
@@ -161,7 +162,18 @@
     /// stops, is close to its connection limit, or is overloaded or was until shortly before.
     pub(super) fn should_shed_connections(&self) -> bool {
         let is_recovering = self.host.borrow().is_recovering(self.now());
-        self.is_stopping.get() || self.is_near_connection_limit.get() || is_recovering
+        self.is_stopping() || self.is_near_connection_limit.get() || is_recovering
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop_window.get().is_some()
+    }
+
+    /// Returns whether a request that no endpoint has got yet may be passed on; `objective` is `None` for
+    /// streams.
+    pub(super) fn may_pass_on(&self, objective: Option<Duration>) -> bool {
+        let window = self.stop_window.get();
+        window.is_none_or(|window| window.takes(objective, self.now()))
     }
 
     /// Counts a request of a customer, and returns whether the host can keep up with it.
--- a/crates/cicadalock-node/src/gateway/stream_part.rs
+++ b/crates/cicadalock-node/src/gateway/stream_part.rs
@@ -116,6 +116,11 @@
         complete_end(&self.headers) == AttemptEnd::Complete
     }
 
+    /// Returns whether neither an event nor a frame around the body tells that the answer is whole.
+    pub(super) fn is_bare(&self) -> bool {
+        self.progress.begun_at.is_none() && !self.is_framed()
+    }
+
     pub(super) const fn guard(&self) -> &RequestGuard {
         &self.guard
     }
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -256,6 +256,11 @@
         if !self.splitter.partial().is_empty() {
             return self.replace_broken::<D>("the stream ended inside an event".to_owned());
         }
+        // Without a frame around it, a crash looks like an end without events.
+        if self.current.as_ref().is_some_and(StreamPart::is_bare) {
+            let detail = "the stream ended without a frame and without an event".to_owned();
+            return self.replace_broken::<D>(detail);
+        }
         self.cancel_standby();
         if let Some(part) = self.current.take() {
             part.finish(&self.shared);
