fix(desk): an endpoint gets no more than it can begin: backlog and rate from the ends of prefills

Change: EndpointGate keeps started prefills in order. Until the first event of one arrives, those after it have not begun; one that is overtaken or silent for long is in nobody's way. PrefillRate is the ratio of work to time over all measured prefills, of saturated engines too, in which older ones weigh less.

--- a/crates/cicadalock-core/benches/gateway.rs
+++ b/crates/cicadalock-core/benches/gateway.rs
@@ -100,7 +100,7 @@
                 let now = ClockTime::from_millis(1_000 + step * 10);
                 for key in black_box(desk.admit(&mut meter, now)) {
                     desk.first_event(key, now);
-                    desk.end(key, now);
+                    desk.end(key);
                     number += 1;
                     let customer = CustomerId::new((number % u64::from(customers)) as u32);
                     let ask = DeskAsk::new(customer, ClockTime::MAX).work(100.0, 100, 100);
--- a/crates/cicadalock-core/src/desk/desk_machine.rs
+++ b/crates/cicadalock-core/src/desk/desk_machine.rs
@@ -177,7 +177,7 @@
         }
         self.meter.drop_link(link);
         self.broker.drop_link(link);
-        self.desk.drop_link(link, now);
+        self.desk.drop_link(link);
     }
 
     /// Returns when [`take_actions`](Self::take_actions) is next due; `None` without routers.
@@ -276,7 +276,7 @@
 
     /// Ends a run, and gives back what was charged for it if it ended before its first event.
     fn end_run(&mut self, key: RunKey, now: ClockTime) {
-        if let Some(charge) = self.desk.end(key, now) {
+        if let Some(charge) = self.desk.end(key) {
             let cost = (charge.cost as f64, charge.charged_at);
             self.meter.refund(charge.customer, key.0, cost, now);
         }
--- a/crates/cicadalock-core/src/desk/endpoint_desk.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_desk.rs
@@ -305,8 +305,8 @@
     /// Records that a request's prefill is done and updates the prefill rate from it.
     pub fn first_event(&mut self, key: RunKey, now: ClockTime) {
         self.charges.remove(&key);
-        if let Some((units, took)) = self.gate.finish_prefill(key, now) {
-            self.rate.observe(units, took);
+        if let Some(measure) = self.gate.finish_prefill(key, now) {
+            self.rate.observe(&measure);
         }
     }
 
@@ -314,16 +314,16 @@
     ///
     /// Returns what was charged for it here if it ended before its first event: it did not get what its
     /// customer was charged for.
-    pub fn end(&mut self, key: RunKey, now: ClockTime) -> Option<RunCharge> {
-        self.gate.end(key, now);
+    pub fn end(&mut self, key: RunKey) -> Option<RunCharge> {
+        self.gate.end(key);
         self.charges.remove(&key)
     }
 
     /// Records that a router is gone, with its waiting and running requests.
-    pub fn drop_link(&mut self, link: LinkId, now: ClockTime) {
+    pub fn drop_link(&mut self, link: LinkId) {
         self.remove_waiting(link);
         self.charges.retain(|(owner, _), _| *owner != link);
-        self.gate.drop_link(link, now);
+        self.gate.drop_link(link);
     }
 
     /// Expected wait of a request: the prefill in progress, and the requests queued before it, or the
--- a/crates/cicadalock-core/src/desk/endpoint_gate.rs
+++ b/crates/cicadalock-core/src/desk/endpoint_gate.rs
@@ -5,6 +5,7 @@
 use super::request_rate::RequestRate;
 use crate::collect::SortedMap;
 use crate::id::LinkId;
+use crate::place::PrefillMeasure;
 use crate::time::ClockTime;
 
 /// Fraction of time that an endpoint may spend on prefill while streams run on it.
@@ -20,6 +21,14 @@
 /// Maximum pause between two events of a stream whose route configures none.
 pub(crate) const DEFAULT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Largest fraction of a request's prefill that is assumed to be done before its first event shows it.
+const MAX_UNSEEN_PROGRESS: f64 = 0.8;
+
+/// Time without progress after which a request counts as lost on its way to the endpoint: this time and a
+/// multiple of its prefill time.
+const LOST_REQUEST_TIME: Duration = Duration::from_millis(500);
+const LOST_REQUEST_FACTOR: u32 = 4;
+
 /// Fraction of the endpoint's memory that running requests may fill.
 const MEMORY_FRACTION: f64 = 0.9;
 
@@ -49,8 +58,10 @@
 pub struct EndpointGate {
     limits: GateLimits,
     runs: SortedMap<RunKey, GateRun>,
-    /// Expected end of all prefill started so far.
-    prefill_until: ClockTime,
+    /// When the endpoint last finished a prefill.
+    progress_at: ClockTime,
+    /// Number of requests started so far.
+    started_count: u64,
     /// Prefill time that may still be started, in seconds, as of `allowance_updated_at`.
     ///
     /// Grows at [`PREFILL_DUTY`] and is negative after a prefill that exceeds it.
@@ -67,9 +78,10 @@
     demand: RequestDemand,
     is_prefilling: bool,
     started: ClockTime,
-    /// Prefill work in tokens, from which the prefill rate is measured; `None` if another request's
-    /// prefill may overlap.
-    exclusive_prefill_tokens: Option<f64>,
+    /// Position in the order of starts.
+    number: u64,
+    /// Prefill work in tokens.
+    prefill_tokens: f64,
 }
 
 impl GateLimits {
@@ -107,7 +119,8 @@
         Self {
             limits,
             runs: SortedMap::new(),
-            prefill_until: ClockTime::from_micros(0),
+            progress_at: ClockTime::from_micros(0),
+            started_count: 0,
             allowance: 0.0,
             allowance_updated_at: ClockTime::from_micros(0),
             foreign: 0,
@@ -132,9 +145,35 @@
     }
 
     /// Returns the expected time until all started prefill is done.
+    ///
+    /// An endpoint prefills requests in the order in which they reach it. Until the first event of a request
+    /// arrives, the prefill of those after it has not begun, however long it takes.
     #[must_use]
     pub fn backlog(&self, now: ClockTime) -> Duration {
-        self.prefill_until.since(now)
+        let mut pending: Vec<&GateRun> =
+            self.runs.values().filter(|run| run.is_prefilling).collect();
+        pending.sort_by_key(|run| run.number);
+        let lost = pending
+            .iter()
+            .take_while(|run| self.is_lost(run, now))
+            .count();
+        let left = &pending[lost..];
+        let Some(first) = left.first() else {
+            return Duration::ZERO;
+        };
+        let total: Duration = left.iter().map(|run| run.demand.prefill_time).sum();
+        let done = first.demand.prefill_time.mul_f64(MAX_UNSEEN_PROGRESS);
+        total.saturating_sub(self.time_on(first, now).min(done))
+    }
+
+    /// Returns the time that the endpoint has spent on a request since it finished the one before.
+    fn time_on(&self, run: &GateRun, now: ClockTime) -> Duration {
+        now.since(run.started.max(self.progress_at))
+    }
+
+    /// Returns whether a request most likely never reached the endpoint: its router froze or was cut off.
+    fn is_lost(&self, run: &GateRun, now: ClockTime) -> bool {
+        self.time_on(run, now) > LOST_REQUEST_TIME + run.demand.prefill_time * LOST_REQUEST_FACTOR
     }
 
     /// Returns the number of running requests, including those not started through this gate.
@@ -232,48 +271,49 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.record_start(now);
         }
-        let exclusive_prefill_tokens =
-            (!self.is_prefilling() && prefill_tokens > 0.0).then_some(prefill_tokens);
-        for run in self.runs.values_mut() {
-            run.exclusive_prefill_tokens = None;
-        }
         self.allowance = self.allowance_at(now) - demand.prefill_time.as_secs_f64();
         self.allowance_updated_at = now;
-        self.prefill_until = self.prefill_until.max(now) + demand.prefill_time;
+        self.started_count += 1;
         self.runs.insert(
             key,
             GateRun {
                 demand,
                 is_prefilling: true,
                 started: now,
-                exclusive_prefill_tokens,
+                number: self.started_count,
+                prefill_tokens,
             },
         );
     }
 
-    /// Records that a request's prefill is done.
-    ///
-    /// Returns the prefill work in tokens and the time it took, if the prefill rate can be measured
-    /// from them: no other request was in prefill when this one started, and none started since.
-    pub fn finish_prefill(&mut self, key: RunKey, now: ClockTime) -> Option<(f64, Duration)> {
-        let run = self.runs.get_mut(&key)?;
-        run.is_prefilling = false;
-        let prefill_tokens = run.exclusive_prefill_tokens.take();
-        let took = now.since(run.started);
-        self.clamp_backlog(now);
-        prefill_tokens.map(|prefill_tokens| (prefill_tokens, took))
+    /// Records that a request's prefill is done, and returns what it tells about the prefill rate.
+    pub fn finish_prefill(&mut self, key: RunKey, now: ClockTime) -> Option<PrefillMeasure> {
+        let run = *self.runs.get(&key)?;
+        if !run.is_prefilling {
+            return None;
+        }
+        let took = self.time_on(&run, now);
+        let is_saturated = run.started <= self.progress_at;
+        for other in self.runs.values_mut() {
+            // A request that was overtaken is not in the endpoint's line.
+            other.is_prefilling &= other.number > run.number;
+        }
+        self.progress_at = now;
+        (run.prefill_tokens > 0.0).then_some(PrefillMeasure {
+            tokens: run.prefill_tokens,
+            took,
+            is_saturated,
+        })
     }
 
     /// Records that a request is no longer at the endpoint.
-    pub fn end(&mut self, key: RunKey, now: ClockTime) {
+    pub fn end(&mut self, key: RunKey) {
         self.runs.remove(&key);
-        self.clamp_backlog(now);
     }
 
     /// Removes all requests that a router started over `link`.
-    pub fn drop_link(&mut self, link: LinkId, now: ClockTime) {
+    pub fn drop_link(&mut self, link: LinkId) {
         self.runs.retain(|(run_link, _), _| *run_link != link);
-        self.clamp_backlog(now);
     }
 
     /// Returns whether any request is in prefill.
@@ -282,13 +322,6 @@
         self.runs.values().any(|run| run.is_prefilling)
     }
 
-    /// Limits the backlog to the total prefill time of the requests that are still in prefill.
-    fn clamp_backlog(&mut self, now: ClockTime) {
-        let pending = self.runs.values().filter(|run| run.is_prefilling);
-        let pending: Duration = pending.map(|run| run.demand.prefill_time).sum();
-        self.prefill_until = self.prefill_until.min(now + pending);
-    }
-
     /// Returns the prefill time that may be started at `now`, in seconds; at most one burst.
     fn allowance_at(&self, now: ClockTime) -> f64 {
         let refill = now.since(self.allowance_updated_at).as_secs_f64() * PREFILL_DUTY;
--- a/crates/cicadalock-core/src/desk/mod.rs
+++ b/crates/cicadalock-core/src/desk/mod.rs
@@ -24,7 +24,7 @@
 //! desk.ask(first, ask, &meter, now).unwrap();
 //! desk.ask(second, ask, &meter, now).unwrap();
 //! assert_eq!(desk.admit(&mut meter, now), [first]);
-//! desk.end(first, now);
+//! desk.end(first);
 //! assert_eq!(desk.admit(&mut meter, now), [second]);
 //! ```
 
--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -325,7 +325,7 @@
         let request = self.requests.remove(&id)?;
         let endpoint = request.plan.endpoint.clone();
         if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            state.desk.end(own_key(id), now);
+            state.desk.end(own_key(id));
             state.own_requests = state.own_requests.saturating_sub(1);
             match end {
                 AttemptEnd::Complete | AttemptEnd::CompleteUnframed => {
--- a/crates/cicadalock-core/src/place/mod.rs
+++ b/crates/cicadalock-core/src/place/mod.rs
@@ -27,6 +27,6 @@
 mod rendezvous;
 
 pub use endpoint_health::EndpointHealth;
-pub use prefill_rate::PrefillRate;
+pub use prefill_rate::{PrefillMeasure, PrefillRate};
 pub use prefix_memory::PrefixMemory;
 pub use rendezvous::rendezvous_score;
--- a/crates/cicadalock-core/src/place/prefill_rate.rs
+++ b/crates/cicadalock-core/src/place/prefill_rate.rs
@@ -8,23 +8,47 @@
 /// Lowest and highest plausible rate, in tokens per millisecond.
 const RATE_RANGE: (f64, f64) = (2.0, 2_000.0);
 
-/// Weight of a new measurement in the moving average.
-const SMOOTHING_WEIGHT: f64 = 0.1;
+/// Work that the assumed rate counts for among the measurements, in tokens.
+const ASSUMED_WORK: f64 = 4_000.0;
 
-/// Least work, in tokens without context, from which the rate is measured.
+/// Work after which a measurement has lost most of its weight, in tokens.
+const MEMORY_WORK: f64 = 60_000.0;
+
+/// Least work, in tokens without context, from which the rate of an idle endpoint is measured.
 ///
 /// With less work, generating the first token takes as long as the prefill.
 const MIN_MEASURED_WORK: f64 = 1_500.0;
 
+/// Least work from which the rate of a saturated endpoint is measured.
+///
+/// Requests whose prefill ends in the same step of the engine seem to take no time; a step usually
+/// prefills less than this.
+const MIN_SATURATED_WORK: f64 = 6_000.0;
+
 /// Tokens of context at which attention costs as much as the rest of a token's prefill.
 ///
 /// Depends on the model's shape; 40,000 holds within a factor of two for large dense models.
 const ATTENTION_CONTEXT: f64 = 40_000.0;
 
-/// Prefill rate of an endpoint, estimated from prompts that were prefilled alone.
+/// Prefill work of one request, and the time that the endpoint took for it after the one before.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PrefillMeasure {
+    /// Prefill work, in tokens without context.
+    pub tokens: f64,
+    /// Time that it took.
+    pub took: Duration,
+    /// Whether the request was waiting when the one before was done.
+    pub is_saturated: bool,
+}
+
+/// Prefill rate of an endpoint, estimated from the times at which prefills end.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillRate {
-    per_milli: f64,
+    /// Sums of work in tokens and of time in milliseconds, in which older measurements weigh less.
+    work: f64,
+    millis: f64,
+    /// Work and time of a saturated endpoint since the last measurement.
+    saturated: (f64, Duration),
 }
 
 impl PrefillRate {
@@ -39,14 +63,16 @@
             DEFAULT_RATE
         };
         Self {
-            per_milli: per_milli.clamp(RATE_RANGE.0, RATE_RANGE.1),
+            work: ASSUMED_WORK,
+            millis: ASSUMED_WORK / per_milli.clamp(RATE_RANGE.0, RATE_RANGE.1),
+            saturated: (0.0, Duration::ZERO),
         }
     }
 
     /// Returns the rate in tokens per millisecond.
     #[must_use]
     pub const fn tokens_per_milli(&self) -> f64 {
-        self.per_milli
+        (self.work / self.millis).clamp(RATE_RANGE.0, RATE_RANGE.1)
     }
 
     /// Returns the prefill work of a prompt of which `kept` tokens are cached.
@@ -63,24 +89,38 @@
     /// Returns the expected prefill time of `work`.
     #[must_use]
     pub fn time(&self, work: f64) -> Duration {
-        Duration::from_secs_f64(work / self.per_milli / 1_000.0)
+        Duration::from_secs_f64(work / self.tokens_per_milli() / 1_000.0)
     }
 
-    /// Updates the estimate with the prefill time of a prompt that was prefilled alone.
-    pub fn observe(&mut self, work: f64, took: Duration) {
+    /// Updates the estimate.
+    pub fn observe(&mut self, measure: &PrefillMeasure) {
+        if !measure.is_saturated {
+            if measure.tokens >= MIN_MEASURED_WORK {
+                self.record(measure.tokens, measure.took);
+            }
+            return;
+        }
+        self.saturated.0 += measure.tokens;
+        self.saturated.1 += measure.took;
+        if self.saturated.0 >= MIN_SATURATED_WORK {
+            let (tokens, took) = std::mem::take(&mut self.saturated);
+            self.record(tokens, took);
+        }
+    }
+
+    fn record(&mut self, tokens: f64, took: Duration) {
         let millis = took.as_secs_f64() * 1_000.0;
-        if work < MIN_MEASURED_WORK || millis <= 0.0 {
+        if millis <= 0.0 {
             return;
         }
-        let measured = (work / millis).clamp(RATE_RANGE.0, RATE_RANGE.1);
-        self.per_milli += (measured - self.per_milli) * SMOOTHING_WEIGHT;
+        let kept = (-tokens / MEMORY_WORK).exp();
+        self.work = self.work * kept + tokens;
+        self.millis = self.millis * kept + millis;
     }
 }
 
 impl Default for PrefillRate {
     fn default() -> Self {
-        Self {
-            per_milli: DEFAULT_RATE,
-        }
+        Self::from_tokens_per_milli(DEFAULT_RATE)
     }
 }
--- a/crates/cicadalock-core/tests/desk.rs
+++ b/crates/cicadalock-core/tests/desk.rs
@@ -65,7 +65,7 @@
         desk.admit(&mut meter, ClockTime::from_millis(11_000))
             .is_empty()
     );
-    desk.end(key(1), ClockTime::from_millis(11_500));
+    desk.end(key(1));
     assert_eq!(
         desk.admit(&mut meter, ClockTime::from_millis(11_500)),
         [key(2)]
@@ -153,7 +153,7 @@
             let is_due = *due <= now;
             if is_due {
                 desk.first_event(*started, now);
-                desk.end(*started, now);
+                desk.end(*started);
             }
             !is_due
         });
@@ -412,7 +412,7 @@
                 Step::FirstEvent(index) if index < running.len() => desk.first_event(running[index].0, now),
                 Step::End(index) if index < running.len() => {
                     let (ended, _) = running.remove(index);
-                    desk.end(ended, now);
+                    desk.end(ended);
                 }
                 Step::Withdraw(index) if index < waiting.len() => {
                     let (withdrawn, _) = waiting.remove(index);
@@ -437,7 +437,7 @@
         }
         // All waiting requests start once the running ones have ended, or are refused as overdue.
         for (ended, _) in running.drain(..) {
-            desk.end(ended, now);
+            desk.end(ended);
         }
         now = now + Duration::from_secs(1);
         desk.refuse_overdue(now);
@@ -445,7 +445,7 @@
             let started = desk.admit(&mut meter, now);
             prop_assert!(!started.is_empty());
             for key in started {
-                desk.end(key, now);
+                desk.end(key);
             }
             now = now + Duration::from_millis(400);
             desk.refuse_overdue(now);
--- a/crates/cicadalock-node/src/gateway/stream_part.rs
+++ b/crates/cicadalock-node/src/gateway/stream_part.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub(super) enum ResumeEnd {
     /// The endpoint begins to answer.
-    Begun(StreamPart),
+    Begun(Box<StreamPart>),
     /// No endpoint takes the request; nothing was sent.
     Refused(&'static str),
     Failed(RequestGuard, AttemptProgress, AttemptFailure),
@@ -85,7 +85,7 @@
                 if answer.response.status() == StatusCode::OK
                     && answer.response.headers().get(CONTENT_TYPE) == content_type.as_ref() =>
             {
-                ResumeEnd::Begun(Self::new(answer, guard, progress))
+                ResumeEnd::Begun(Box::new(Self::new(answer, guard, progress)))
             }
             Ok(answer) => {
                 let status = answer.response.status().as_u16();
--- a/crates/cicadalock-node/src/gateway/stream_relay.rs
+++ b/crates/cicadalock-node/src/gateway/stream_relay.rs
@@ -340,10 +340,10 @@
     /// Handles the outcome of an attempt to resume the stream.
     fn receive_resumed<D: GatewayDialect>(&mut self, end: ResumeEnd) -> ControlFlow<()> {
         match end {
-            ResumeEnd::Begun(part) if self.current.is_none() => self.follow(part),
+            ResumeEnd::Begun(part) if self.current.is_none() => self.follow(*part),
             ResumeEnd::Begun(part) => {
                 self.standby = Some(StandbyPart {
-                    part,
+                    part: *part,
                     splitter: EventSplitter::default(),
                 });
             }
--- a/crates/trial/src/emulator/engine_model.rs
+++ b/crates/trial/src/emulator/engine_model.rs
@@ -29,8 +29,8 @@
 /// A simulated inference engine with continuous batching.
 ///
 /// Requests are admitted in order of arrival. Each step prefills a chunk of the prompts and decodes
-/// one token for each request whose prefill is done. The prompt parts of finished requests stay
-/// in a prefix cache, where later prompts with the same prefix find them. When memory runs out, the newest request is preempted.
+/// one token for each request whose prefill is done. Prefilled prompt parts stay in a prefix cache,
+/// where later prompts with the same prefix find them. When memory runs out, the newest request is preempted.
 #[derive(Debug, Clone)]
 pub struct EngineModel {
     settings: EngineSettings,
@@ -135,9 +135,13 @@
     pub fn end_step(&mut self) -> Vec<EngineEvent> {
         let mut events = Vec::new();
         let tokens_per_event = self.settings.tokens_per_event;
+        let mut prefilled_prompts = Vec::new();
         for running_request in &mut self.running {
             self.prefilled_and_cached.0 += u64::from(running_request.step_prefill);
             running_request.prefill_left -= running_request.step_prefill;
+            if running_request.step_prefill > 0 && running_request.prefill_left == 0 {
+                prefilled_prompts.push(running_request.request.prompt.clone());
+            }
             running_request.step_prefill = 0;
             if running_request.decodes {
                 running_request.generated += 1;
@@ -157,6 +161,9 @@
                     running_request.generated >= running_request.request.output
                 });
         self.running = running;
+        for prompt in prefilled_prompts {
+            self.cache.insert_prompt(&prompt, self.free_tokens());
+        }
         for running_request in finished {
             self.cache
                 .insert_prompt(&running_request.request.prompt, self.free_tokens());
--- a/crates/trial/src/emulator/load_file.rs
+++ b/crates/trial/src/emulator/load_file.rs
@@ -45,6 +45,20 @@
     /// Time that each million pairs of a prompt token and a token it attends to add, in
     /// microseconds.
     pub read_us_per_pair_m: f64,
+    /// Slow periods, as the machine of an engine has other work; none if it is absent.
+    pub slowdown: Option<SlowdownSettings>,
+}
+
+/// Periods in which all work of an engine takes longer.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlowdownSettings {
+    /// Fraction of the periods that are slow.
+    pub share: f64,
+    /// Factor by which work takes longer in a slow period.
+    pub factor: f64,
+    /// Length of a period, in milliseconds.
+    pub period_ms: u64,
 }
 
 /// Numbers of processes and the network between them.
@@ -242,7 +256,13 @@
                 ("kinds.worth", kind.worth),
             ]
         });
-        for (field, value) in positive.into_iter().chain(kinds) {
+        let slowdown = self.engine.slowdown.iter().flat_map(|slowdown| {
+            [
+                ("engine.slowdown.factor", slowdown.factor),
+                ("engine.slowdown.period_ms", slowdown.period_ms as f64),
+            ]
+        });
+        for (field, value) in positive.into_iter().chain(kinds).chain(slowdown) {
             ensure!(value > 0.0, NotPositiveSnafu { field });
         }
         for flood in &self.floods {
--- a/crates/trial/src/emulator/mod.rs
+++ b/crates/trial/src/emulator/mod.rs
@@ -28,6 +28,7 @@
 pub use load_draw::{DrawnCall, draw_load};
 pub use load_file::{
     CutSettings, EngineSettings, HostSettings, KindSettings, LoadError, LoadFile, SizeSettings,
+    SlowdownSettings,
 };
 pub use outcome_table::{CallOutcome, OutcomeTable, plot_outcomes};
 pub use share_check::ShareBreach;
--- a/crates/trial/src/emulator/virtual_fleet.rs
+++ b/crates/trial/src/emulator/virtual_fleet.rs
@@ -13,6 +13,9 @@
 };
 use cicadalock_core::time::ClockTime;
 
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
 use super::engine_model::{EngineEvent, EngineModel, EngineRequest};
 use super::load_draw::{DrawnCall, draw_load};
 use super::load_file::{CutSettings, LoadFile};
@@ -433,10 +436,25 @@
         }
         if let Some(duration) = self.engines[engine].model.begin_step() {
             self.engines[engine].is_stepping = true;
+            let duration = duration.mul_f64(self.slowdown(engine));
             self.schedule(self.now + duration, VirtualEvent::StepEnd(engine));
         }
     }
 
+    /// Returns the factor by which work on an engine takes longer now.
+    fn slowdown(&self, engine: usize) -> f64 {
+        let Some(slowdown) = &self.load.engine.slowdown else {
+            return 1.0;
+        };
+        let period = self.now.since(START).as_millis() as u64 / slowdown.period_ms;
+        let drawn = StdRng::seed_from_u64(period << 16 | engine as u64).random_range(0.0..1.0);
+        if drawn < slowdown.share {
+            slowdown.factor
+        } else {
+            1.0
+        }
+    }
+
     fn drive_router(&mut self, router: usize) {
         let now = self.now;
         loop {
--- a/crates/trial/tests/emulator.rs
+++ b/crates/trial/tests/emulator.rs
@@ -175,3 +175,63 @@
     assert!(table.share_breaches.is_empty(), "{table}");
     assert!(table.least_share >= 0.5, "{table}");
 }
+
+/// Prompts whose shared part is most of them, at engines half as fast as a desk assumes at first, while a few
+/// customers send seven to nine times their usual requests.
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+    seed_4 = { 4 },
+)]
+fn every_customer_keeps_its_share_at_slow_engines(seed: u64) {
+    let load: LoadFile = include_str!("../loads/counting.toml")
+        .parse()
+        .expect("counting.toml is a valid load");
+    let options = EmulatorOptions {
+        seed,
+        length: Duration::from_secs(22),
+        ..EmulatorOptions::default()
+    };
+    let table = emulate(&load, &options).expect("the core accepts the fleet");
+    assert!(table.share_breaches.is_empty(), "{table}");
+}
+
+/// The engines' base step takes 1 to 6 ms, they prefill 25 to 150 tokens in a millisecond, and an event holds 1 to
+/// 17 tokens.
+#[parameterized(
+    shape_1 = { 1 },
+    shape_2 = { 2 },
+    shape_3 = { 3 },
+    shape_4 = { 4 },
+    shape_5 = { 5 },
+)]
+fn requests_begin_in_time_at_engines_of_any_shape(shape: u64) {
+    use rand::rngs::StdRng;
+    use rand::{RngExt, SeedableRng};
+    let mut rng = StdRng::seed_from_u64(shape);
+    let mut load: LoadFile = include_str!("../loads/counting-quiet.toml")
+        .parse()
+        .expect("counting-quiet.toml is a valid load");
+    let speed = rng.random_range(0.5..3.0);
+    load.engine.step_us = 5_950.0 / speed;
+    load.engine.read_per_ms *= speed;
+    load.engine.read_us_per_pair_m /= speed;
+    load.engine.tokens_per_event = rng.random_range(1..=17);
+    for kind in &mut load.kinds {
+        kind.per_second *= 2.0 * speed;
+    }
+    let options = EmulatorOptions {
+        seed: shape,
+        length: Duration::from_secs(16),
+        ..EmulatorOptions::default()
+    };
+    let table = emulate(&load, &options).expect("the core accepts the fleet");
+    let times = table.first_event_times.iter().zip(&load.kinds);
+    for ((name, row), ((median, _), kind)) in table.kinds.iter().zip(times) {
+        assert!(row.timely + row.late > 0, "{name}: {table}");
+        // The silence after which callers leave.
+        let patience = (kind.objective() * 4).max(kind.pause() * 8);
+        assert!(*median <= patience, "{name}: {table}");
+    }
+}
