fix(gateway): a router whose timer is overdue takes no desk for silent

Cause: a router restarts the silence of its desks when a timer fires late.

Change: GatewayMachine knows when the timer is due, and judges no silence while it is overdue by more than 110 ms. Ruled out: a longer limit, which would hold requests of frozen desks for longer.

--- a/crates/cicadalock-core/src/gateway/machine.rs
+++ b/crates/cicadalock-core/src/gateway/machine.rs
@@ -74,6 +74,8 @@
     pub(super) sums_requested: usize,
     /// When this router was last found to run late.
     pub(super) lagged_at: ClockTime,
+    /// When the timer is due from which this router measures how late it runs.
+    pub(super) timer_due: Option<ClockTime>,
     /// Keeps requests from endpoints that would crash on a part of their prompt.
     pub(super) guard: CrashGuard,
     /// Number of routers that a desk last told.
@@ -193,6 +195,7 @@
             last_exchange: ClockTime::default(),
             sums_requested: 0,
             lagged_at: ClockTime::default(),
+            timer_due: None,
             guard: CrashGuard::default(),
             last_router_count: 1,
             evidence_sent: 0,
--- a/crates/cicadalock-core/src/gateway/remote_desk.rs
+++ b/crates/cicadalock-core/src/gateway/remote_desk.rs
@@ -258,6 +258,12 @@
 
     /// Drops desks that owe an answer and have been silent for too long.
     pub(super) fn drop_silent_desks(&mut self, now: ClockTime) {
+        if self
+            .timer_due
+            .is_some_and(|due| now.since(due) > MAX_SWEEP_LAG)
+        {
+            self.lagged_at = now;
+        }
         let silence = |since: ClockTime| now.since(since.max(self.lagged_at));
         let mut silent: Vec<EndpointId> = Vec::new();
         for request in self.requests.values() {
@@ -291,6 +297,13 @@
         }
     }
 
+    /// Sets when the timer is due from which this router measures how late it runs.
+    ///
+    /// While it is overdue, messages of desks may be unread, whatever else this router gets done.
+    pub const fn expect_timer(&mut self, due: ClockTime) {
+        self.timer_due = Some(due);
+    }
+
     /// Starts a request that the endpoint's own desk granted.
     fn start(&mut self, id: RequestId, now: ClockTime) {
         let Some(request) = self.requests.get(&id) else {
--- a/crates/cicadalock-core/tests/gateway_machine.rs
+++ b/crates/cicadalock-core/tests/gateway_machine.rs
@@ -659,6 +659,36 @@
     assert!(actions.contains(&GatewayAction::CloseDesk(endpoint(0))));
 }
 
+/// Guards against the same between two readings of the lag: requests that were read keep the router busy, while
+/// frames of desks wait.
+#[test]
+fn a_router_whose_timer_is_overdue_does_not_drop_desks_as_silent() {
+    let mut machine = machine(1, 8, Some(600_000));
+    machine.receive_desk_message(&endpoint(0), desk_state(0), at(0));
+    machine.submit(RequestId::new(1), call(at(1_000), true), at(1_000));
+    let mut due = 1_100;
+    machine.expect_timer(at(due));
+    for millis in (1_000..=2_500).step_by(10) {
+        if millis == due + 500 {
+            machine.record_lag(Duration::from_millis(500), at(millis));
+            due = millis + 100;
+            machine.expect_timer(at(due));
+        }
+        let actions = machine.take_actions(at(millis));
+        assert!(
+            !actions.contains(&GatewayAction::CloseDesk(endpoint(0))),
+            "dropped after {millis} ms"
+        );
+    }
+    // The timer is on time, and the desk is still silent.
+    let mut actions = Vec::new();
+    for millis in (2_510..=3_000).step_by(10) {
+        machine.expect_timer(at(millis + 100));
+        actions.extend(machine.take_actions(at(millis)));
+    }
+    assert!(actions.contains(&GatewayAction::CloseDesk(endpoint(0))));
+}
+
 #[test]
 fn a_request_that_waits_for_a_silent_desk_moves_to_another_endpoint() {
     let mut machine = machine(2, 8, Some(600_000));
--- a/crates/cicadalock-node/src/gateway/shared.rs
+++ b/crates/cicadalock-node/src/gateway/shared.rs
@@ -185,6 +185,7 @@
     pub(super) async fn watch_lag(&self) {
         loop {
             let due = self.now() + LAG_INTERVAL;
+            self.machine.borrow_mut().expect_timer(due);
             tokio::time::sleep(LAG_INTERVAL).await;
             self.check_suspension();
             let now = self.now();
