test(trial): the soak cuts answers inside the head and behind a head that tells no length

The broken lookups of the soak were cut inside the body only. A third each is cut inside the head, or has neither a length nor a body; their callers are owed 502, as before.

--- a/crates/trial/src/soak/soak_callers.rs
+++ b/crates/trial/src/soak/soak_callers.rs
@@ -311,7 +311,10 @@
     role: CallerRole,
     rng: &mut StdRng,
 ) -> Option<CallRecord> {
-    let (mut kind, path) = role.draw(rng);
+    let (mut kind, mut path) = role.draw(rng);
+    if kind == CallKind::Broken {
+        path = broken_path(&number);
+    }
     let token = role.token(shared.token.load(Ordering::SeqCst), rng)?;
     let sent = Instant::now();
     let crash_part = shared.crash_part.load(Ordering::SeqCst);
@@ -353,6 +356,16 @@
     })
 }
 
+/// Returns the path of a lookup whose answers are always cut: inside the body, inside the head, or behind a head
+/// that tells no length. The number decides, so that the draws of a seed stay the same.
+fn broken_path(number: &str) -> &'static str {
+    match number.bytes().last().unwrap_or_default() % 3 {
+        0 => "/look/cut",
+        1 => "/look/cut-head",
+        _ => "/look/bare",
+    }
+}
+
 fn connect(router: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect_timeout(&router, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
