--- a/crates/cicadalock-node/src/desk/desk_daemon.rs
+++ b/crates/cicadalock-node/src/desk/desk_daemon.rs
@@ -289,6 +289,7 @@
                 "come_back_ms": retry_after_ms,
                 "wait_ms": state.wait.as_millis() as u64,
                 "running": state.running,
+                "prefill_per_ms": state.rate.tokens_per_milli() as u64,
             }),
         );
     }
