fix(desk): the prefill rate is a quantile of the last measurements

Change: the rate is the 0.7 quantile of the last 16 measurements. What makes an endpoint look slow is the exception; nothing makes it look fast. A saturated endpoint is measured over 12,000 tokens.

--- a/crates/cicadalock-core/src/place/prefill_rate.rs
+++ b/crates/cicadalock-core/src/place/prefill_rate.rs
@@ -8,11 +8,14 @@
 /// Lowest and highest plausible rate, in tokens per millisecond.
 const RATE_RANGE: (f64, f64) = (2.0, 2_000.0);
 
-/// Work that the assumed rate counts for among the measurements, in tokens.
-const ASSUMED_WORK: f64 = 4_000.0;
+/// Number of measurements from which the rate is estimated.
+const MEASUREMENTS: usize = 16;
 
-/// Work after which a measurement has lost most of its weight, in tokens.
-const MEMORY_WORK: f64 = 60_000.0;
+/// Quantile of the measured rates that is taken.
+///
+/// A prompt part that was assumed to be cached and is not, or a request that reaches its endpoint late, makes
+/// an endpoint look slow; nothing makes it look fast.
+const RATE_QUANTILE: f64 = 0.7;
 
 /// Least work, in tokens without context, from which the rate of an idle endpoint is measured.
 ///
@@ -22,8 +25,8 @@
 /// Least work from which the rate of a saturated endpoint is measured.
 ///
 /// Requests whose prefill ends in the same step of the engine seem to take no time; a step usually
-/// prefills less than this.
-const MIN_SATURATED_WORK: f64 = 6_000.0;
+/// prefills less than half of this.
+const MIN_SATURATED_WORK: f64 = 12_000.0;
 
 /// Tokens of context at which attention costs as much as the rest of a token's prefill.
 ///
@@ -44,9 +47,10 @@
 /// Prefill rate of an endpoint, estimated from the times at which prefills end.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillRate {
-    /// Sums of work in tokens and of time in milliseconds, in which older measurements weigh less.
-    work: f64,
-    millis: f64,
+    per_milli: f64,
+    /// The last measured rates in tokens per millisecond, a ring, and the number of measurements.
+    measured: [f64; MEASUREMENTS],
+    count: usize,
     /// Work and time of a saturated endpoint since the last measurement.
     saturated: (f64, Duration),
 }
@@ -63,8 +67,9 @@
             DEFAULT_RATE
         };
         Self {
-            work: ASSUMED_WORK,
-            millis: ASSUMED_WORK / per_milli.clamp(RATE_RANGE.0, RATE_RANGE.1),
+            per_milli: per_milli.clamp(RATE_RANGE.0, RATE_RANGE.1),
+            measured: [0.0; MEASUREMENTS],
+            count: 0,
             saturated: (0.0, Duration::ZERO),
         }
     }
@@ -72,7 +77,7 @@
     /// Returns the rate in tokens per millisecond.
     #[must_use]
     pub const fn tokens_per_milli(&self) -> f64 {
-        (self.work / self.millis).clamp(RATE_RANGE.0, RATE_RANGE.1)
+        self.per_milli
     }
 
     /// Returns the prefill work of a prompt of which `kept` tokens are cached.
@@ -113,9 +118,13 @@
         if millis <= 0.0 {
             return;
         }
-        let kept = (-tokens / MEMORY_WORK).exp();
-        self.work = self.work * kept + tokens;
-        self.millis = self.millis * kept + millis;
+        self.measured[self.count % MEASUREMENTS] =
+            (tokens / millis).clamp(RATE_RANGE.0, RATE_RANGE.1);
+        self.count += 1;
+        let mut rates = self.measured;
+        let rates = &mut rates[..self.count.min(MEASUREMENTS)];
+        rates.sort_by(f64::total_cmp);
+        self.per_milli = rates[((rates.len() - 1) as f64 * RATE_QUANTILE).round() as usize];
     }
 }
 
