--- a/crates/cicadalock-core/src/place/prefill_rate.rs
+++ b/crates/cicadalock-core/src/place/prefill_rate.rs
@@ -13,8 +13,8 @@
 
 /// Quantile of the measured rates that is taken.
 ///
-/// A prompt part that was assumed to be cached and is not, or a request that reaches its endpoint late, makes
-/// an endpoint look slow; nothing makes it look fast.
+/// A prompt part that was assumed to be cached and is not, or a request that reaches its endpoint late, makes an
+/// endpoint look slow. The opposite, a part that only other routers know to be cached, is rarer.
 const RATE_QUANTILE: f64 = 0.7;
 
 /// Least work, in tokens without context, from which the rate of an idle endpoint is measured.
