--- a/crates/cicadalock-node/src/gateway/store_follower.rs
+++ b/crates/cicadalock-node/src/gateway/store_follower.rs
@@ -24,6 +24,10 @@
 /// Time in which the operators write again what the store's return from an older copy has lost.
 const REWRITE_TIME: Duration = REREGISTRATION_GRACE;
 
+/// Age of the copy, as a fraction of [`FollowerTimes::token_age`], up to which a revocation that it may lack is due
+/// only after the operators had time to write it again.
+const PROMPT_READ_FRACTION: f64 = 0.8;
+
 /// Part of a bound that is left for passing a removal on and for requests on their way.
 const REMOVAL_MARGIN: Duration = Duration::from_millis(200);
 
@@ -104,9 +108,9 @@
 /// A token that was revoked in the lost seconds is valid in the copy until the operators have written
 /// again. A router that had read everything until shortly before knows of the revocation, or learns of it
 /// within the bound. One that had not for longer than [`FollowerTimes::token_age`] may have missed it. So
-/// may any router if the copy is not ahead of what it had read: the operators write again what was lost
-/// since. In both cases the copy does not count as a confirmation until a configuration is written or a
-/// time has passed.
+/// may one that had not for nearly as long, if the copy is not ahead of what it had read: the revocation would
+/// be due before the operators have written it again. In both cases the copy does not count as a confirmation
+/// until a configuration is written or a time has passed.
 #[derive(Debug)]
 pub struct StoreFollower<S> {
     store: S,
@@ -233,11 +237,12 @@
         update: &StoreUpdate,
     ) -> ClockTime {
         let was_written = std::mem::take(&mut self.has_config_write);
-        let is_late = now.since(self.tokens_confirmed_at) > self.times.token_age;
+        let age = now.since(self.tokens_confirmed_at);
+        let prompt_age = self.times.token_age.mul_f64(PROMPT_READ_FRACTION);
         // A copy that is not ahead of what is known lacks all that was written since the last read.
-        let may_lack_revocation = update
-            .restored
-            .is_some_and(|restored| is_late || !restored.is_ahead());
+        let may_lack_revocation = update.restored.is_some_and(|restored| {
+            age > self.times.token_age || (age > prompt_age && !restored.is_ahead())
+        });
         if may_lack_revocation {
             self.tokens_held_until = Some(now + REWRITE_TIME);
         }
